--- a/packages/net/src/net/error_body.cc
+++ b/packages/net/src/net/error_body.cc
@@ -27,7 +27,7 @@
 }
 
 error ParseErrorBody(int status, std::string_view body) {
-  const error unknown =
+  error unknown =
       error::Make(error_kind::backend_failed,
                   "backend answered status " + std::to_string(status));
   boost::system::error_code code;
--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -36,6 +36,9 @@
 
 /// An open connection, with or without TLS.
 struct connection {
+  explicit connection(plain_stream plain) : stream(std::move(plain)) {}
+  explicit connection(tls_stream secure) : stream(std::move(secure)) {}
+
   std::variant<plain_stream, tls_stream> stream;
   beast::flat_buffer buffer{kMaxHeaderBytes + kReadChunkBytes};
   bool reused = false;
