Add process settings, control client and answer relay

Cause: both roles share settings, signed control calls and the passing on of answers. Ruled out: trusting the end of the HTTP message alone for streams; an engine that dies may still close a chunked message, so [DONE] is required. Conclusion: a cut stream gets an error event and a closed connection.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,5 +1,6 @@
 # cy_package(NAME DEPS dep...): a static library from packages/NAME/src/NAME/*.cc, its tests from
 # test/*_test.cc (one executable NAME_test) and its benchmarks from bench/*_bench.cc.
+# g++ 12 reports mismatched-new-delete for coroutine frames of Boost.Asio, which is wrong.
 # LABELS adds ctest labels to every test of the package.
 function(cy_package name)
   cmake_parse_arguments(ARG "" "" "DEPS;LABELS" ${ARGN})
@@ -7,7 +8,7 @@
   if(sources)
     add_library(cy_${name} STATIC ${sources})
     set(scope PUBLIC)
-    target_compile_options(cy_${name} PRIVATE -Wall -Wextra -Werror)
+    target_compile_options(cy_${name} PRIVATE -Wall -Wextra -Werror -Wno-mismatched-new-delete)
   else()
     add_library(cy_${name} INTERFACE)
     set(scope INTERFACE)
@@ -19,7 +20,7 @@
   file(GLOB tests CONFIGURE_DEPENDS test/*_test.cc)
   if(tests)
     add_executable(${name}_test ${tests})
-    target_compile_options(${name}_test PRIVATE -Wall -Wextra -Werror)
+    target_compile_options(${name}_test PRIVATE -Wall -Wextra -Werror -Wno-mismatched-new-delete)
     target_link_libraries(${name}_test PRIVATE cy_${name} GTest::gtest GTest::gtest_main rapidcheck)
     cy_discover_tests(${name}_test "${name};${ARG_LABELS}")
   endif()
--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -165,6 +165,12 @@
     }
   }
 
+  void Cancel() override {
+    if (link_ != nullptr) {
+      link_->lowest().close();
+    }
+  }
+
  private:
   void KeepConnection() {
     if (link_ != nullptr && options_.reuse_connection &&
--- a/packages/net/src/net/http_client.h
+++ b/packages/net/src/net/http_client.h
@@ -43,6 +43,9 @@
   /// Reads the rest of the body, at most \p limit bytes.
   virtual boost::asio::awaitable<result<std::string>> ReadAll(
       std::size_t limit) = 0;
+  /// Closes the connection, so that a waiting read ends with an error. Call it
+  /// on the thread of the io_context that opened the call.
+  virtual void Cancel() = 0;
 };
 
 /// \brief HTTP/1.1 client. Safe to use from several threads; a kept
--- /dev/null
+++ b/packages/node/include/cardamomyard/node.h
@@ -0,0 +1,9 @@
+#ifndef CARDAMOMYARD_NODE_H_
+#define CARDAMOMYARD_NODE_H_
+
+/// \file
+/// Public header of the package node: the entry and sidecar roles.
+
+#include "src/node/settings.h"
+
+#endif  // CARDAMOMYARD_NODE_H_
--- /dev/null
+++ b/packages/node/src/node/answer_relay.cc
@@ -0,0 +1,184 @@
+#include "src/node/answer_relay.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <memory>
+#include <utility>
+
+#include "src/node/internal_api.h"
+#include "src/node/sse_scanner.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+namespace {
+
+constexpr std::size_t kMaxWholeAnswerBytes = 16U << 20U;
+// A withdrawn key must stop a silent stream within seconds.
+constexpr std::chrono::milliseconds kCheckInterval{500};
+
+/// State that the relay and its periodic check share on one thread.
+struct check_state {
+  http_call* call = nullptr;
+  std::function<std::optional<error>()> check;
+  std::optional<error> failure;
+};
+
+asio::awaitable<void> CheckPeriodically(std::shared_ptr<check_state> state) {
+  while (state->call != nullptr) {
+    co_await SleepFor(kCheckInterval);
+    if (state->call == nullptr || state->failure) {
+      co_return;
+    }
+    state->failure = state->check();
+    if (state->failure) {
+      state->call->Cancel();
+    }
+  }
+}
+
+/// Ends the periodic check when the relay ends.
+class check_scope {
+ public:
+  explicit check_scope(std::shared_ptr<check_state> state)
+      : state_(std::move(state)) {}
+  ~check_scope() { state_->call = nullptr; }
+  check_scope(const check_scope&) = delete;
+  check_scope& operator=(const check_scope&) = delete;
+
+ private:
+  std::shared_ptr<check_state> state_;
+};
+
+bool IsEventStream(const header_list& headers) {
+  return headers.Get("Content-Type")
+      .value_or("")
+      .starts_with("text/event-stream");
+}
+
+header_list AnswerHeaders(const header_list& from,
+                          const std::string& request_id) {
+  header_list headers;
+  for (const http_header& field : from.all()) {
+    if (SameHeaderName(field.name, "Content-Type") ||
+        SameHeaderName(field.name, "Retry-After") ||
+        SameHeaderName(field.name, internal_api::kExchangeId)) {
+      headers.Add(field.name, field.value);
+    }
+  }
+  headers.Set(internal_api::kRequestId, request_id);
+  return headers;
+}
+
+asio::awaitable<relay_report> RelayWhole(http_call& from,
+                                         http_exchange& to,
+                                         const relay_options& options) {
+  relay_report report;
+  result<std::string> body = co_await from.ReadAll(kMaxWholeAnswerBytes);
+  if (!body) {
+    report.failure = body.error();
+    co_return report;
+  }
+  if (options.observe) {
+    options.observe(*body);
+  }
+  http_response answer{from.status(),
+                       AnswerHeaders(from.headers(), options.request_id),
+                       std::move(*body)};
+  report.started = true;
+  result<void> sent = co_await to.Send(std::move(answer));
+  if (!sent) {
+    report.failure = sent.error();
+  }
+  report.complete = sent.has_value();
+  co_return report;
+}
+
+/// Tells the caller why the stream is cut and closes the connection.
+asio::awaitable<void> CutStream(http_exchange& to,
+                                error cause,
+                                std::string request_id) {
+  std::string event = "data: " + ErrorBody(cause, request_id) + "\n\n";
+  co_await to.Write(std::move(event));
+  to.Abort();
+}
+
+asio::awaitable<relay_report> RelayStream(http_call& from,
+                                          http_exchange& to,
+                                          const relay_options& options,
+                                          check_state& state) {
+  relay_report report;
+  sse_scanner scanner;
+  result<std::string> piece = co_await from.ReadSome();
+  if (!piece && !state.failure) {
+    report.failure = piece.error();
+    co_return report;
+  }
+  report.started = true;
+  header_list headers = AnswerHeaders(from.headers(), options.request_id);
+  result<void> sent = co_await to.StartStream(from.status(), headers);
+  while (sent && piece && !piece->empty() && !state.failure) {
+    if (options.check) {
+      state.failure = options.check();
+    }
+    if (state.failure) {
+      break;
+    }
+    scanner.Feed(*piece);
+    if (options.observe) {
+      options.observe(*piece);
+    }
+    sent = co_await to.Write(std::move(*piece));
+    if (sent) {
+      piece = co_await from.ReadSome();
+    }
+  }
+  if (!sent) {
+    report.failure = sent.error();
+    to.Abort();
+    co_return report;
+  }
+  if (state.failure) {
+    report.failure = state.failure;
+  } else if (!piece) {
+    report.failure = piece.error();
+  } else if (!scanner.done()) {
+    report.failure = error::Make(error_kind::backend_failed,
+                                 "the stream ended before [DONE]");
+  }
+  if (report.failure) {
+    co_await CutStream(to, *report.failure, options.request_id);
+    co_return report;
+  }
+  sent = co_await to.Finish();
+  report.complete = sent.has_value();
+  if (!sent) {
+    report.failure = sent.error();
+  }
+  co_return report;
+}
+
+}  // namespace
+
+asio::awaitable<relay_report> RelayAnswer(http_call& from,
+                                          http_exchange& to,
+                                          relay_options options) {
+  auto state = std::make_shared<check_state>();
+  state->call = &from;
+  state->check = options.check;
+  const check_scope scope(state);
+  if (options.check) {
+    asio::co_spawn(co_await asio::this_coro::executor, CheckPeriodically(state),
+                   asio::detached);
+  }
+  if (IsEventStream(from.headers())) {
+    co_return co_await RelayStream(from, to, options, *state);
+  }
+  relay_report report = co_await RelayWhole(from, to, options);
+  if (state->failure && !report.complete) {
+    report.failure = state->failure;
+  }
+  co_return report;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/node/src/node/internal_api.h
@@ -0,0 +1,32 @@
+#ifndef CARDAMOMYARD_NODE_INTERNAL_API_H_
+#define CARDAMOMYARD_NODE_INTERNAL_API_H_
+
+#include <string_view>
+
+namespace cardamomyard::internal_api {
+
+// Paths between the system's own processes.
+inline constexpr std::string_view kHeartbeat = "/internal/heartbeat";
+inline constexpr std::string_view kDigest = "/internal/digest";
+inline constexpr std::string_view kBorrow = "/internal/borrow";
+inline constexpr std::string_view kConfigHead = "/internal/config/head";
+inline constexpr std::string_view kConfigBlob = "/internal/config/blob/";
+inline constexpr std::string_view kStatus = "/internal/status";
+
+// Headers of a request that an entry host forwards to a sidecar.
+inline constexpr std::string_view kAccount = "X-Cardamomyard-Account";
+inline constexpr std::string_view kWeight = "X-Cardamomyard-Weight";
+inline constexpr std::string_view kRepeatable = "X-Cardamomyard-Repeatable";
+inline constexpr std::string_view kDeadlineMs = "X-Cardamomyard-Deadline-Ms";
+inline constexpr std::string_view kFingerprint = "X-Cardamomyard-Fingerprint";
+inline constexpr std::string_view kIsolated = "X-Cardamomyard-Isolated";
+/// Echoed by the sidecar, so that an answer that belongs to another request is
+/// detected.
+inline constexpr std::string_view kExchangeId = "X-Cardamomyard-Exchange";
+
+inline constexpr std::string_view kRequestId = "X-Request-Id";
+inline constexpr std::string_view kTraceparent = "traceparent";
+
+}  // namespace cardamomyard::internal_api
+
+#endif  // CARDAMOMYARD_NODE_INTERNAL_API_H_
--- /dev/null
+++ b/packages/node/src/node/published.h
@@ -0,0 +1,36 @@
+#ifndef CARDAMOMYARD_NODE_PUBLISHED_H_
+#define CARDAMOMYARD_NODE_PUBLISHED_H_
+
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace cardamomyard {
+
+/// \brief An immutable snapshot that the control thread replaces and traffic
+/// threads read.
+template <class T>
+class published {
+ public:
+  published() = default;
+  explicit published(std::shared_ptr<const T> first)
+      : value_(std::move(first)) {}
+
+  std::shared_ptr<const T> Get() const {
+    const std::lock_guard lock(mutex_);
+    return value_;
+  }
+
+  void Set(std::shared_ptr<const T> next) {
+    const std::lock_guard lock(mutex_);
+    value_.swap(next);
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::shared_ptr<const T> value_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_NODE_PUBLISHED_H_
