Add the decision packages routing and admission

Rendezvous hashing over all servers for each request was ruled out as linear; a ring with fixed points is used.

--- /dev/null
+++ b/packages/admission/src/admission/admission_controller.cc
@@ -0,0 +1,239 @@
+#include "src/admission/admission_controller.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace cardamomyard {
+namespace {
+
+// Slots are kept free for the online requests expected in this time, which is
+// what a preemption takes: a step to notice it and the cancel call.
+constexpr double kReserveSeconds = 0.1;
+// Online latency at batch_weight 0 is covered for twice the mean arrivals.
+constexpr double kReserveFactor = 2;
+constexpr double kServiceGain = 0.05;
+
+}  // namespace
+
+admission_controller::admission_controller(options chosen)
+    : options_(chosen), capacity_(chosen.capacity) {
+  SetBatchWeight(chosen.batch_weight);
+}
+
+void admission_controller::SetBatchWeight(double batch_weight) {
+  assert(batch_weight >= 0 && batch_weight <= 1 &&
+         "batch_weight lies between 0 and 1");
+  options_.batch_weight = batch_weight;
+}
+
+int admission_controller::Reserve(time_point now) const {
+  const double expected =
+      arrivals_.PerSecond(now) * kReserveSeconds * kReserveFactor;
+  const double reserve = std::ceil((1 - options_.batch_weight) * expected);
+  // At least one slot stays for batch, or it would starve on a busy server.
+  return static_cast<int>(std::min(reserve, capacity() - 1.0));
+}
+
+int admission_controller::free_online_slots() const {
+  if (draining_ || isolated_) {
+    return 0;
+  }
+  return std::max(0, capacity() - online_running());
+}
+
+error admission_controller::Overloaded() const {
+  // The time until the queue has moved through the slots.
+  const double seconds = mean_service_seconds_ *
+                         static_cast<double>(queue_.size() + 1) / capacity();
+  const auto delay = std::chrono::milliseconds(
+      static_cast<std::int64_t>(std::clamp(seconds, 0.05, 30.0) * 1000));
+  return error::Make(error_kind::overloaded,
+                     "the backend server has no free slot")
+      .WithRetryAfter(delay);
+}
+
+void admission_controller::StartOnline(request_id id, time_point now) {
+  online_.emplace(id, now);
+}
+
+request_id admission_controller::PreemptLatest() {
+  const request_id id = batch_order_.back();
+  batch_order_.pop_back();
+  batch_.erase(id);
+  return id;
+}
+
+online_decision admission_controller::SubmitOnline(request_id id,
+                                                   const std::string& account,
+                                                   double weight,
+                                                   time_point deadline,
+                                                   time_point now) {
+  if (draining_) {
+    return refuse_request{
+        id, error::Make(error_kind::draining, "the backend server is leaving")};
+  }
+  if (isolated_) {
+    return refuse_request{id, Overloaded()};
+  }
+  if (deadline <= now) {
+    return refuse_request{
+        id, error::Make(error_kind::timeout, "the deadline has passed")
+                .WithOutcome(outcome::not_run)};
+  }
+  arrivals_.Add(now);
+  if (queue_.empty()) {
+    if (FreeSlots() > 0) {
+      StartOnline(id, now);
+      return start_request{id};
+    }
+    if (!batch_.empty() && online_running() < capacity()) {
+      StartOnline(id, now);
+      return start_and_preempt{PreemptLatest()};
+    }
+  }
+  if (queue_.size() >= options_.queue_limit) {
+    return refuse_request{id, Overloaded()};
+  }
+  queue_.Push(id, account, weight, deadline);
+  return request_queued{};
+}
+
+bool admission_controller::OfferBatch(request_id id, time_point now) {
+  if (draining_ || isolated_ || !queue_.empty() ||
+      FreeSlots() <= Reserve(now)) {
+    return false;
+  }
+  batch_order_.push_back(id);
+  batch_.emplace(id, std::prev(batch_order_.end()));
+  return true;
+}
+
+bool admission_controller::EndRunning(request_id id, time_point now) {
+  if (const auto found = online_.find(id); found != online_.end()) {
+    const double seconds =
+        std::chrono::duration<double>(now - found->second).count();
+    mean_service_seconds_ += kServiceGain * (seconds - mean_service_seconds_);
+    online_.erase(found);
+  } else if (const auto item = batch_.find(id); item != batch_.end()) {
+    batch_order_.erase(item->second);
+    batch_.erase(item);
+  } else {
+    return false;
+  }
+  if (isolated_ == id) {
+    isolated_.reset();
+    isolated_started_ = false;
+  }
+  return true;
+}
+
+void admission_controller::Advance(time_point now, admission_events& events) {
+  for (const request_id id : queue_.Expire(now)) {
+    events.emplace_back(refuse_request{
+        id, error::Make(error_kind::timeout,
+                        "the deadline passed while the request was queued")
+                .WithOutcome(outcome::not_run)});
+  }
+  if (isolated_) {
+    if (!isolated_started_ && running() == 0) {
+      isolated_started_ = true;
+      StartOnline(*isolated_, now);
+      events.emplace_back(start_request{*isolated_});
+    }
+    return;
+  }
+  while (!queue_.empty() && online_running() < capacity()) {
+    if (FreeSlots() <= 0) {
+      events.emplace_back(preempt_batch{PreemptLatest()});
+    }
+    const request_id id = *queue_.Pop();
+    StartOnline(id, now);
+    events.emplace_back(start_request{id});
+  }
+}
+
+admission_events admission_controller::Finished(request_id id, time_point now) {
+  admission_events events;
+  EndRunning(id, now);
+  Advance(now, events);
+  return events;
+}
+
+admission_events admission_controller::Cancel(request_id id, time_point now) {
+  admission_events events;
+  if (!EndRunning(id, now) && !queue_.Remove(id) && isolated_ == id) {
+    isolated_.reset();
+  }
+  Advance(now, events);
+  return events;
+}
+
+admission_events admission_controller::Tick(time_point now) {
+  admission_events events;
+  Advance(now, events);
+  return events;
+}
+
+admission_events admission_controller::ObserveStep(duration step_time,
+                                                   int running,
+                                                   time_point now) {
+  admission_events events;
+  if (!isolated_) {
+    capacity_.ObserveStep(step_time, running);
+  }
+  while (FreeSlots() < 0 && !batch_.empty()) {
+    events.emplace_back(preempt_batch{PreemptLatest()});
+  }
+  Advance(now, events);
+  return events;
+}
+
+void admission_controller::RefuseQueued(const error& cause,
+                                        admission_events& events) {
+  for (const request_id id : queue_.Clear()) {
+    events.emplace_back(refuse_request{id, cause});
+  }
+}
+
+void admission_controller::PreemptAll(admission_events& events) {
+  while (!batch_.empty()) {
+    events.emplace_back(preempt_batch{PreemptLatest()});
+  }
+}
+
+admission_events admission_controller::BeginIsolation(request_id id,
+                                                      time_point now) {
+  admission_events events;
+  if (draining_) {
+    events.emplace_back(refuse_request{
+        id,
+        error::Make(error_kind::draining, "the backend server is leaving")});
+    return events;
+  }
+  if (isolated_) {
+    events.emplace_back(refuse_request{id, Overloaded()});
+    return events;
+  }
+  isolated_ = id;
+  RefuseQueued(Overloaded(), events);
+  PreemptAll(events);
+  Advance(now, events);
+  return events;
+}
+
+admission_events admission_controller::BeginDrain(time_point now) {
+  admission_events events;
+  draining_ = true;
+  const error cause =
+      error::Make(error_kind::draining, "the backend server is leaving");
+  if (isolated_ && !isolated_started_) {
+    events.emplace_back(refuse_request{*isolated_, cause});
+    isolated_.reset();
+  }
+  RefuseQueued(cause, events);
+  Advance(now, events);
+  return events;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/admission/src/admission/capacity_estimator.cc
@@ -0,0 +1,66 @@
+#include "src/admission/capacity_estimator.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace cardamomyard {
+namespace {
+
+// Half of the weight lies in the last 69 steps, about 2 s at 30 ms a step.
+constexpr double kDecay = 0.99;
+// Below this variance of the running sequences noise decides the slope.
+constexpr double kMinVariance = 0.25;
+constexpr double kMinWeight = 8;
+// A step of the line would follow noise of single steps.
+constexpr double kLineGain = 0.1;
+
+}  // namespace
+
+capacity_estimator::capacity_estimator(options chosen)
+    : options_(chosen), capacity_(chosen.initial) {
+  assert(chosen.initial >= 1 && chosen.max >= chosen.initial &&
+         "capacity lies between 1 and its maximum");
+}
+
+void capacity_estimator::ObserveStep(duration step_time, int running) {
+  if (running <= 0) {
+    return;
+  }
+  const double seconds = std::chrono::duration<double>(step_time).count();
+  const double x = running;
+  weight_ = weight_ * kDecay + 1;
+  sum_x_ = sum_x_ * kDecay + x;
+  sum_y_ = sum_y_ * kDecay + seconds;
+  sum_xx_ = sum_xx_ * kDecay + x * x;
+  sum_xy_ = sum_xy_ * kDecay + x * seconds;
+  highest_running_ = std::max(highest_running_ * kDecay, x);
+
+  const double mean_x = sum_x_ / weight_;
+  const double mean_y = sum_y_ / weight_;
+  const double variance = sum_xx_ / weight_ - mean_x * mean_x;
+  const double slope =
+      variance > 0 ? (sum_xy_ / weight_ - mean_x * mean_y) / variance : 0;
+  if (weight_ < kMinWeight || variance < kMinVariance || slope <= 0) {
+    MoveInSteps(seconds, running);
+  } else {
+    const double target =
+        std::chrono::duration<double>(options_.target_step).count();
+    const double limit = mean_x + (target - mean_y) / slope;
+    const double trusted = std::max(capacity_, highest_running_ * 1.25 + 1);
+    capacity_ += kLineGain * (std::min(limit, trusted) - capacity_);
+  }
+  capacity_ = std::clamp(capacity_, 1.0, static_cast<double>(options_.max));
+}
+
+void capacity_estimator::MoveInSteps(double seconds, int running) {
+  const double target =
+      std::chrono::duration<double>(options_.target_step).count();
+  if (seconds > target) {
+    capacity_ *= 0.95;
+  } else if (running >= capacity()) {
+    capacity_ += 0.25;
+  }
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/admission/src/admission/capacity_estimator.h
@@ -0,0 +1,51 @@
+#ifndef CARDAMOMYARD_ADMISSION_CAPACITY_ESTIMATOR_H_
+#define CARDAMOMYARD_ADMISSION_CAPACITY_ESTIMATOR_H_
+
+#include "src/base/clock.h"
+
+namespace cardamomyard {
+
+/// \brief Learns how many sequences a backend server runs within the target
+/// step time.
+///
+/// Additive increase and multiplicative decrease needs no model, but it finds
+/// the limit only by exceeding it again and again, and each time every running
+/// stream is slow. The step time of continuous batching is close to a line in
+/// the number of sequences, so a fitted line predicts the limit. The line is
+/// used when the observed numbers differ enough to fit it, and is trusted only
+/// a quarter beyond the highest recent number; otherwise the capacity moves in
+/// additive and multiplicative steps.
+class capacity_estimator {
+ public:
+  struct options {
+    duration target_step = std::chrono::milliseconds(40);
+    int initial = 8;
+    int max = 256;
+  };
+
+  capacity_estimator() : capacity_estimator(options{}) {}
+  explicit capacity_estimator(options chosen);
+
+  /// \param step_time  duration of one step of the engine.
+  /// \param running  sequences that took part in it; steps of none are ignored.
+  void ObserveStep(duration step_time, int running);
+  /// \returns the capacity, at least 1.
+  int capacity() const { return static_cast<int>(capacity_); }
+
+ private:
+  void MoveInSteps(double seconds, int running);
+
+  options options_;
+  double capacity_;
+  // Exponentially weighted sums of the least squares fit.
+  double weight_ = 0;
+  double sum_x_ = 0;
+  double sum_y_ = 0;
+  double sum_xx_ = 0;
+  double sum_xy_ = 0;
+  double highest_running_ = 0;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_ADMISSION_CAPACITY_ESTIMATOR_H_
--- /dev/null
+++ b/packages/routing/include/cardamomyard/routing.h
@@ -0,0 +1,20 @@
+#ifndef CARDAMOMYARD_ROUTING_H_
+#define CARDAMOMYARD_ROUTING_H_
+
+/// \file
+/// Public header of the package routing: choice of a backend server, retries
+/// and crash suspects.
+
+#include "src/routing/affinity_router.h"
+#include "src/routing/backend_candidate.h"
+#include "src/routing/candidate_set.h"
+#include "src/routing/crash_suspects.h"
+#include "src/routing/least_loaded_router.h"
+#include "src/routing/prompt_prefix.h"
+#include "src/routing/retry_budget.h"
+#include "src/routing/retry_policy.h"
+#include "src/routing/round_robin_router.h"
+#include "src/routing/routing_policy.h"
+#include "src/routing/suspect_claim.h"
+
+#endif  // CARDAMOMYARD_ROUTING_H_
--- /dev/null
+++ b/packages/routing/src/routing/affinity_router.h
@@ -0,0 +1,50 @@
+#ifndef CARDAMOMYARD_ROUTING_AFFINITY_ROUTER_H_
+#define CARDAMOMYARD_ROUTING_AFFINITY_ROUTER_H_
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+
+#include "src/base/result.h"
+#include "src/routing/candidate_set.h"
+#include "src/routing/unreported_load.h"
+#include "src/routing/wait_estimate.h"
+
+namespace cardamomyard {
+
+/// \brief Chooses among 3 servers by prompt prefix and 2 at random the one
+/// with the lowest estimated wait.
+///
+/// One choice costs a binary search and five estimates, whatever the number of
+/// servers. The random picks relieve a server whose prefix is popular. Not
+/// thread-safe.
+class affinity_router {
+ public:
+  explicit affinity_router(std::string zone, wait_model model = {});
+
+  /// \brief Replaces the snapshot.
+  void Update(std::shared_ptr<const candidate_set> set);
+  /// \param prefix_hash  \sa PromptPrefixHash
+  /// \param excluded  servers that already failed this request.
+  /// \returns the server for the next attempt, or `no_backend`.
+  result<routing_choice> Choose(std::uint64_t prefix_hash,
+                                std::span<const std::string> excluded,
+                                time_point now,
+                                std::mt19937_64& random);
+  void Sent(const std::string& id, time_point now) { load_.Sent(id, now); }
+  void Finished(const std::string& id, time_point now) {
+    load_.Finished(id, now);
+  }
+
+ private:
+  std::string zone_;
+  wait_model model_;
+  std::shared_ptr<const candidate_set> set_;
+  internal::unreported_load load_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_ROUTING_AFFINITY_ROUTER_H_
--- /dev/null
+++ b/packages/routing/src/routing/candidate_set.cc
@@ -0,0 +1,99 @@
+#include "src/routing/candidate_set.h"
+
+#include <algorithm>
+
+#include "src/base/digest.h"
+
+namespace cardamomyard {
+namespace {
+
+// With 16 points the shares of servers differ by about a quarter (1/sqrt(16)).
+constexpr std::uint64_t kPointsPerServer = 16;
+
+std::shared_ptr<const internal::hash_ring> BuildRing(
+    std::span<const backend_candidate> candidates) {
+  auto ring = std::make_shared<internal::hash_ring>();
+  ring->reserve(candidates.size() * kPointsPerServer);
+  for (std::uint32_t i = 0; i < candidates.size(); ++i) {
+    for (std::uint64_t point = 0; point < kPointsPerServer; ++point) {
+      ring->emplace_back(Hash64(candidates[i].id, point), i);
+    }
+  }
+  std::sort(ring->begin(), ring->end());
+  return ring;
+}
+
+}  // namespace
+
+namespace internal {
+
+bool IsExcluded(std::string_view id, std::span<const std::string> excluded) {
+  return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+}
+
+}  // namespace internal
+
+std::shared_ptr<const candidate_set> candidate_set::Make(
+    std::vector<backend_candidate> candidates,
+    const candidate_set* previous) {
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const auto& a, const auto& b) { return a.id < b.id; });
+  const auto same_id = [](const auto& a, const auto& b) {
+    return a.id == b.id;
+  };
+  candidates.erase(std::unique(candidates.begin(), candidates.end(), same_id),
+                   candidates.end());
+  for (auto& candidate : candidates) {
+    std::sort(candidate.prefix_digests.begin(), candidate.prefix_digests.end());
+  }
+  std::shared_ptr<candidate_set> set(new candidate_set());
+  if (previous != nullptr && std::equal(candidates.begin(), candidates.end(),
+                                        previous->candidates_.begin(),
+                                        previous->candidates_.end(), same_id)) {
+    set->ring_ = previous->ring_;
+  } else {
+    set->ring_ = BuildRing(candidates);
+  }
+  set->candidates_ = std::move(candidates);
+  return set;
+}
+
+std::vector<std::size_t> candidate_set::Affinity(
+    std::uint64_t key,
+    std::size_t count,
+    std::span<const std::string> excluded) const {
+  std::vector<std::size_t> chosen;
+  const internal::hash_ring& ring = *ring_;
+  const auto first =
+      std::lower_bound(ring.begin(), ring.end(), internal::ring_point{key, 0});
+  const std::size_t wanted = std::min(count, candidates_.size());
+  // Neighbouring points belong to random servers, so the walk is short. Its
+  // bound matters only when nearly every server is excluded.
+  const std::size_t limit =
+      std::min(ring.size(), (wanted + excluded.size()) * 2 * kPointsPerServer);
+  auto position = static_cast<std::size_t>(first - ring.begin());
+  for (std::size_t i = 0; i < limit && chosen.size() < wanted; ++i) {
+    const std::size_t index = ring[(position + i) % ring.size()].second;
+    if (std::find(chosen.begin(), chosen.end(), index) == chosen.end() &&
+        !internal::IsExcluded(candidates_[index].id, excluded)) {
+      chosen.push_back(index);
+    }
+  }
+  return chosen;
+}
+
+std::optional<std::size_t> candidate_set::NextFrom(
+    std::size_t start,
+    std::span<const std::string> excluded) const {
+  // One more step than there are excluded names finds an allowed server.
+  const std::size_t steps = std::min(candidates_.size(), excluded.size() + 1);
+  for (std::size_t i = 0; i < steps; ++i) {
+    const std::size_t index = (start + i) % candidates_.size();
+    if (!internal::IsExcluded(candidates_[index].id, excluded)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/routing/src/routing/crash_suspects.cc
@@ -0,0 +1,161 @@
+#include "src/routing/crash_suspects.h"
+
+#include <algorithm>
+#include <cassert>
+#include <string>
+#include <tuple>
+
+#include "src/base/digest.h"
+
+namespace cardamomyard {
+namespace {
+
+constexpr std::chrono::hours kEntryLifetime{1};
+
+auto Rank(const suspect_entry& entry) {
+  return std::tuple(entry.state == suspect_state::convicted, entry.round,
+                    entry.state, entry.expiry, entry.print);
+}
+
+}  // namespace
+
+fingerprint Fingerprint(std::string_view account,
+                        std::string_view path,
+                        std::string_view body) {
+  // Chained seeds keep "a" + "bc" apart from "ab" + "c".
+  return Hash64(body, Hash64(path, Hash64(account)));
+}
+
+std::strong_ordering operator<=>(const suspect_entry& a,
+                                 const suspect_entry& b) {
+  return Rank(a) <=> Rank(b);
+}
+
+crash_suspects::crash_suspects(std::size_t max_entries)
+    : max_entries_(max_entries) {
+  assert(max_entries > 0 && "the table holds at least one entry");
+}
+
+const suspect_entry* crash_suspects::Find(fingerprint print,
+                                          wall_time now) const {
+  const auto found = entries_.find(print);
+  return found == entries_.end() || found->second.expiry <= now
+             ? nullptr
+             : &found->second;
+}
+
+suspect_decision crash_suspects::Decide(fingerprint print,
+                                        wall_time now) const {
+  const suspect_entry* entry = Find(print, now);
+  if (entry == nullptr || entry->state == suspect_state::cleared) {
+    return suspect_decision::run_normally;
+  }
+  return entry->state == suspect_state::convicted
+             ? suspect_decision::refuse
+             : suspect_decision::run_isolated;
+}
+
+std::uint32_t crash_suspects::Round(fingerprint print, wall_time now) const {
+  const suspect_entry* entry = Find(print, now);
+  return entry == nullptr ? 0 : entry->round;
+}
+
+std::vector<suspect_entry> crash_suspects::ServerDied(
+    std::span<const fingerprint> running,
+    bool isolated,
+    wall_time now) {
+  std::vector<suspect_entry> changed;
+  for (const fingerprint print : running) {
+    const bool was_suspect =
+        Decide(print, now) != suspect_decision::run_normally;
+    const bool guilty = running.size() == 1 && (isolated || was_suspect);
+    changed.push_back(
+        Set(print, guilty ? suspect_state::convicted : suspect_state::suspect,
+            now));
+  }
+  return changed;
+}
+
+suspect_entry crash_suspects::IsolatedRunStarted(fingerprint print,
+                                                 wall_time now) {
+  return Set(print, suspect_state::isolated_run, now);
+}
+
+suspect_entry crash_suspects::Survived(fingerprint print, wall_time now) {
+  return Set(print, suspect_state::cleared, now);
+}
+
+suspect_entry crash_suspects::Convicted(fingerprint print, wall_time now) {
+  return Set(print, suspect_state::convicted, now);
+}
+
+suspect_entry crash_suspects::Set(fingerprint print,
+                                  suspect_state state,
+                                  wall_time now) {
+  suspect_entry entry{print, 0, state, now + kEntryLifetime};
+  if (const suspect_entry* known = Find(print, now)) {
+    // A crash after a clearance is new evidence.
+    const bool reopened = known->state == suspect_state::cleared &&
+                          state == suspect_state::suspect;
+    entry.round = known->round + (reopened ? 1 : 0);
+  }
+  Merge(entry, now);
+  const suspect_entry* kept = Find(print, now);
+  return kept == nullptr ? entry : *kept;
+}
+
+bool crash_suspects::Merge(const suspect_entry& entry, wall_time now) {
+  if (entry.expiry <= now) {
+    return false;
+  }
+  const auto found = entries_.find(entry.print);
+  if (found != entries_.end()) {
+    if (found->second.expiry > now && entry <= found->second) {
+      return false;
+    }
+    found->second = entry;
+    return true;
+  }
+  if (entries_.size() >= max_entries_) {
+    MakeRoom(now);
+  }
+  entries_.emplace(entry.print, entry);
+  return true;
+}
+
+void crash_suspects::MakeRoom(wall_time now) {
+  std::erase_if(entries_,
+                [&](const auto& item) { return item.second.expiry <= now; });
+  if (entries_.size() < max_entries_) {
+    return;
+  }
+  // Cleared entries only save a round; convictions keep servers alive.
+  const auto worth = [](const suspect_entry& entry) {
+    const int severity = entry.state == suspect_state::cleared     ? 0
+                         : entry.state == suspect_state::convicted ? 2
+                                                                   : 1;
+    return std::tuple(severity, entry.expiry, entry.print);
+  };
+  std::vector<suspect_entry> all = Entries(now);
+  // An eighth at a time, so that the scan is rare.
+  const std::size_t count = std::max<std::size_t>(1, max_entries_ / 8);
+  std::nth_element(
+      all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count - 1),
+      all.end(),
+      [&](const auto& a, const auto& b) { return worth(a) < worth(b); });
+  for (std::size_t i = 0; i < count; ++i) {
+    entries_.erase(all[i].print);
+  }
+}
+
+std::vector<suspect_entry> crash_suspects::Entries(wall_time now) const {
+  std::vector<suspect_entry> all;
+  for (const auto& [print, entry] : entries_) {
+    if (entry.expiry > now) {
+      all.push_back(entry);
+    }
+  }
+  return all;
+}
+
+}  // namespace cardamomyard
