Add the sidecar's online path

Cause: the sidecar is the only admitter of its backend server, so every online request waits for a slot there. Ruled out: ending a cut request before the death of its engine is recorded; the other requests that ran beside it would not be seen. Conclusion: a cut request stays registered until the probe has answered.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -4,7 +4,7 @@
 # LABELS adds ctest labels to every test of the package.
 function(cy_package name)
   cmake_parse_arguments(ARG "" "" "DEPS;LABELS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS src/${name}/*.cc src/${name}/generated/*.cpp)
+  file(GLOB sources CONFIGURE_DEPENDS src/${name}/*.cc src/${name}/*/*.cc src/${name}/generated/*.cpp)
   if(sources)
     add_library(cy_${name} STATIC ${sources})
     set(scope PUBLIC)
--- a/packages/node/src/node/answer_relay.cc
+++ b/packages/node/src/node/answer_relay.cc
@@ -57,16 +57,18 @@
 }
 
 header_list AnswerHeaders(const header_list& from,
-                          const std::string& request_id) {
+                          const relay_options& options) {
   header_list headers;
   for (const http_header& field : from.all()) {
     if (SameHeaderName(field.name, "Content-Type") ||
-        SameHeaderName(field.name, "Retry-After") ||
-        SameHeaderName(field.name, internal_api::kExchangeId)) {
+        SameHeaderName(field.name, "Retry-After")) {
       headers.Add(field.name, field.value);
     }
   }
-  headers.Set(internal_api::kRequestId, request_id);
+  headers.Set(internal_api::kRequestId, options.request_id);
+  if (!options.exchange_id.empty()) {
+    headers.Set(internal_api::kExchangeId, options.exchange_id);
+  }
   return headers;
 }
 
@@ -82,8 +84,7 @@
   if (options.observe) {
     options.observe(*body);
   }
-  http_response answer{from.status(),
-                       AnswerHeaders(from.headers(), options.request_id),
+  http_response answer{from.status(), AnswerHeaders(from.headers(), options),
                        std::move(*body)};
   report.started = true;
   result<void> sent = co_await to.Send(std::move(answer));
@@ -115,7 +116,7 @@
     co_return report;
   }
   report.started = true;
-  header_list headers = AnswerHeaders(from.headers(), options.request_id);
+  header_list headers = AnswerHeaders(from.headers(), options);
   result<void> sent = co_await to.StartStream(from.status(), headers);
   while (sent && piece && !piece->empty() && !state.failure) {
     if (options.check) {
--- a/packages/node/src/node/answer_relay.h
+++ b/packages/node/src/node/answer_relay.h
@@ -13,6 +13,8 @@
 /// \brief How an answer is passed on.
 struct relay_options {
   std::string request_id;
+  /// Echoed to an entry host; empty towards callers.
+  std::string exchange_id;
   /// Called on every piece and at least each half second. A failure ends the
   /// stream with an error event and cancels the request at the server.
   std::function<std::optional<error>()> check;
--- /dev/null
+++ b/packages/node/src/node/sidecar/admission_gate.cc
@@ -0,0 +1,166 @@
+#include "src/node/sidecar/admission_gate.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+
+/// A coroutine that waits for a decision. The timer belongs to its thread.
+struct admission_gate::waiter {
+  explicit waiter(const asio::any_io_executor& executor) : timer(executor) {}
+  asio::steady_timer timer;
+  std::optional<result<void>> answer;
+};
+
+slot::~slot() {
+  if (gate_ != nullptr) {
+    gate_->Finish(id_);
+  }
+}
+
+slot::slot(slot&& other) noexcept
+    : gate_(std::exchange(other.gate_, nullptr)), id_(other.id_) {}
+
+admission_gate::admission_gate(admission_controller::options options,
+                               const clock& time)
+    : clock_(&time), controller_(options) {}
+
+admission_gate::~admission_gate() = default;
+
+asio::awaitable<result<slot>> admission_gate::Admit(online_request request) {
+  auto self = std::make_shared<waiter>(co_await asio::this_coro::executor);
+  request_id id = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    id = next_id_++;
+    waiters_.emplace(id, self);
+    const time_point now = clock_->Now();
+    if (request.isolated) {
+      Apply(controller_.BeginIsolation(id, now));
+    } else {
+      const online_decision decision = controller_.SubmitOnline(
+          id, request.account, request.weight, request.deadline, now);
+      if (const auto* preempting = std::get_if<start_and_preempt>(&decision)) {
+        Preempt(preempting->batch_id);
+        Resolve(id, {});
+      } else if (std::holds_alternative<start_request>(decision)) {
+        Resolve(id, {});
+      } else if (const auto* refused = std::get_if<refuse_request>(&decision)) {
+        Resolve(id, Fail(refused->cause));
+      }
+    }
+  }
+  while (true) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (self->answer) {
+        break;
+      }
+      self->timer.expires_after(request.deadline - clock_->Now());
+    }
+    boost::system::error_code ignored;
+    co_await self->timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    ExpireQueued();
+    const std::lock_guard lock(mutex_);
+    if (!self->answer && clock_->Now() >= request.deadline) {
+      // An isolated request that did not start in time leaves the queue here.
+      Apply(controller_.Cancel(id, clock_->Now()));
+      Resolve(id, Fail(error::Make(error_kind::timeout,
+                                   "no slot before the deadline")
+                           .WithOutcome(outcome::not_run)));
+    }
+  }
+  if (!*self->answer) {
+    co_return Fail(self->answer->error());
+  }
+  co_return slot(*this, id);
+}
+
+std::optional<slot> admission_gate::OfferBatch(std::function<void()> preempt) {
+  const std::lock_guard lock(mutex_);
+  const request_id id = next_id_++;
+  if (!controller_.OfferBatch(id, clock_->Now())) {
+    return std::nullopt;
+  }
+  batch_.emplace(id, std::move(preempt));
+  return std::make_optional<slot>(*this, id);
+}
+
+void admission_gate::ObserveStep(duration step_time, int running) {
+  const std::lock_guard lock(mutex_);
+  Apply(controller_.ObserveStep(step_time, running, clock_->Now()));
+}
+
+void admission_gate::SetBatchWeight(double weight) {
+  const std::lock_guard lock(mutex_);
+  controller_.SetBatchWeight(weight);
+}
+
+void admission_gate::BeginDrain() {
+  const std::lock_guard lock(mutex_);
+  Apply(controller_.BeginDrain(clock_->Now()));
+}
+
+gate_report admission_gate::Report() const {
+  const std::lock_guard lock(mutex_);
+  return {controller_.free_online_slots(),
+          static_cast<int>(controller_.queue_length()),
+          controller_.online_running(),
+          controller_.batch_running(),
+          controller_.capacity(),
+          controller_.drained()};
+}
+
+void admission_gate::Finish(request_id id) {
+  const std::lock_guard lock(mutex_);
+  batch_.erase(id);
+  // A preempted batch item is unknown to the controller, which ignores it.
+  Apply(controller_.Finished(id, clock_->Now()));
+}
+
+void admission_gate::ExpireQueued() {
+  const std::lock_guard lock(mutex_);
+  Apply(controller_.Tick(clock_->Now()));
+}
+
+void admission_gate::Apply(const admission_events& events) {
+  for (const admission_event& event : events) {
+    if (const auto* started = std::get_if<start_request>(&event)) {
+      Resolve(started->id, {});
+    } else if (const auto* preempted = std::get_if<preempt_batch>(&event)) {
+      Preempt(preempted->id);
+    } else if (const auto* refused = std::get_if<refuse_request>(&event)) {
+      Resolve(refused->id, Fail(refused->cause));
+    }
+  }
+}
+
+void admission_gate::Resolve(request_id id, result<void> answer) {
+  const auto found = waiters_.find(id);
+  if (found == waiters_.end()) {
+    return;
+  }
+  std::shared_ptr<waiter> waiting = std::move(found->second);
+  waiters_.erase(found);
+  waiting->answer = std::move(answer);
+  asio::post(waiting->timer.get_executor(),
+             [waiting] { waiting->timer.cancel(); });
+}
+
+void admission_gate::Preempt(request_id id) {
+  const auto found = batch_.find(id);
+  if (found == batch_.end()) {
+    return;
+  }
+  const std::function<void()> preempt = std::move(found->second);
+  batch_.erase(found);
+  preempt();
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/node/src/node/sidecar/backend_monitor.cc
@@ -0,0 +1,149 @@
+#include "src/node/sidecar/backend_monitor.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace {
+
+constexpr part_log kLog("backend");
+constexpr std::chrono::milliseconds kPollInterval{100};
+constexpr std::chrono::milliseconds kProbeTimeout{1000};
+// A server that restarts at once would hide its death from a single probe.
+constexpr int kProbesAfterCut = 3;
+constexpr std::chrono::milliseconds kProbeGap{10};
+
+}  // namespace
+
+backend_monitor::backend_monitor(process_context& context,
+                                 const sidecar_settings& settings,
+                                 admission_gate& gate)
+    : context_(&context), settings_(&settings), gate_(&gate) {}
+
+asio::awaitable<void> backend_monitor::Run() {
+  while (true) {
+    const bool answers = co_await Probe();
+    if (answers && !alive_.exchange(true)) {
+      kLog.Info("Backend server answers.",
+                {{"address", settings_->backend.ToString()}});
+    } else if (!answers && alive_) {
+      RecordDeath();
+    }
+    co_await SleepFor(kPollInterval);
+  }
+}
+
+asio::awaitable<bool> backend_monitor::Probe() {
+  http_request request;
+  request.target =
+      settings_->kind == backend_kind::engine ? "/load" : "/healthz";
+  call_options options;
+  options.connect_timeout = kProbeTimeout;
+  options.head_timeout = kProbeTimeout;
+  options.idle_timeout = kProbeTimeout;
+  options.reuse_connection = true;
+  result<http_response> answer = co_await context_->http().Fetch(
+      settings_->backend, std::move(request), options);
+  if (!answer) {
+    // A slow answer is not a death: only a refused or closed connection is.
+    co_return answer.error().kind() == error_kind::timeout;
+  }
+  if (settings_->kind == backend_kind::engine && answer->status == 200) {
+    ObserveLoad(answer->body);
+  }
+  co_return true;
+}
+
+void backend_monitor::ObserveLoad(const std::string& body) {
+  boost::system::error_code code;
+  const json::value load = json::parse(body, code);
+  if (code || !load.is_object()) {
+    return;
+  }
+  const json::value* running = load.as_object().if_contains("running");
+  const json::value* step = load.as_object().if_contains("step_ms");
+  if (running == nullptr || step == nullptr || !running->is_number() ||
+      !step->is_number()) {
+    return;
+  }
+  const auto count = running->to_number<int>();
+  const auto step_time = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(step->to_number<double>()));
+  step_time_ = step_time.count();
+  if (count > 0) {
+    gate_->ObserveStep(step_time, count);
+  }
+}
+
+void backend_monitor::RequestStarted(request_id id,
+                                     fingerprint print,
+                                     bool isolated) {
+  const std::lock_guard lock(mutex_);
+  running_[id] = {print, isolated};
+}
+
+void backend_monitor::RequestEnded(request_id id) {
+  const std::lock_guard lock(mutex_);
+  running_.erase(id);
+}
+
+asio::awaitable<bool> backend_monitor::ConfirmDeath() {
+  for (int probe = 0; probe < kProbesAfterCut; ++probe) {
+    if (!alive_) {
+      co_return true;
+    }
+    const bool answers = co_await Probe();
+    if (!answers) {
+      RecordDeath();
+      co_return true;
+    }
+    co_await SleepFor(kProbeGap);
+  }
+  co_return false;
+}
+
+void backend_monitor::RecordDeath() {
+  if (!alive_.exchange(false)) {
+    return;
+  }
+  std::size_t count = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    std::vector<fingerprint> prints;
+    bool isolated = false;
+    for (const auto& [id, request] : running_) {
+      prints.push_back(request.print);
+      isolated = isolated || request.isolated;
+    }
+    count = prints.size();
+    suspects_.ServerDied(prints, isolated, context_->time().WallNow());
+  }
+  context_->metrics().Counter("cardamomyard_backend_deaths_total").Add();
+  kLog.Error("Backend server died.", {{"running", count}});
+  if (on_death_) {
+    on_death_();
+  }
+}
+
+bool backend_monitor::MergeSuspects(const std::vector<suspect_entry>& entries) {
+  const std::lock_guard lock(mutex_);
+  bool changed = false;
+  for (const suspect_entry& entry : entries) {
+    changed |= suspects_.Merge(entry, context_->time().WallNow());
+  }
+  return changed;
+}
+
+std::vector<suspect_entry> backend_monitor::Suspects() const {
+  const std::lock_guard lock(mutex_);
+  return suspects_.Entries(context_->time().WallNow());
+}
+
+void backend_monitor::RecordSurvival(fingerprint print) {
+  const std::lock_guard lock(mutex_);
+  suspects_.Survived(print, context_->time().WallNow());
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/node/src/node/sidecar/sidecar.cc
@@ -0,0 +1,179 @@
+#include "src/node/sidecar/sidecar.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_future.hpp>
+#include <future>
+#include <thread>
+#include <utility>
+
+#include "src/node/host_list_client.h"
+#include "src/node/port_file.h"
+#include "src/node/suspect_codec.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+namespace {
+
+constexpr part_log kLog("sidecar");
+constexpr std::chrono::milliseconds kRefreshInterval{250};
+// A sidecar that was paused for longer may have missed that its host leaves.
+constexpr std::chrono::seconds kMaxRefreshAge{2};
+constexpr std::chrono::milliseconds kDrainPoll{20};
+
+// Values of heartbeat::state.
+enum class reported_state { starting, serving, draining, down };
+
+admission_controller::options AdmissionOptions(
+    const sidecar_settings& settings) {
+  admission_controller::options options;
+  options.capacity.initial = settings.slots;
+  if (settings.kind == backend_kind::service) {
+    options.capacity.max = settings.slots;
+  }
+  return options;
+}
+
+}  // namespace
+
+sidecar::sidecar(sidecar_settings settings,
+                 std::unique_ptr<process_context> context)
+    : settings_(std::move(settings)),
+      context_(std::move(context)),
+      gate_(AdmissionOptions(settings_), context_->time()),
+      monitor_(*context_, settings_, gate_),
+      handler_(*context_,
+               settings_,
+               gate_,
+               monitor_,
+               [this] { return Refusal(); }),
+      server_(*context_),
+      heartbeats_(
+          *context_,
+          [this] { return Describe(); },
+          [this](const host_address& from, const heartbeat_reply& reply) {
+            OnReply(from, reply);
+          }) {
+  monitor_.OnDeath([this] { heartbeats_.SendNow(); });
+}
+
+sidecar::~sidecar() {
+  context_->StopThreads();
+}
+
+result<std::unique_ptr<sidecar>> sidecar::Create(sidecar_settings settings) {
+  auto context = process_context::Create(settings.common);
+  if (!context) {
+    return Fail(context.error());
+  }
+  return std::unique_ptr<sidecar>(
+      new sidecar(std::move(settings), std::move(*context)));
+}
+
+result<void> sidecar::Start() {
+  server_.SetFallback([this](http_exchange& exchange, http_request request) {
+    return handler_.Handle(exchange, std::move(request));
+  });
+  if (result<void> started = server_.Start(); !started) {
+    return started;
+  }
+  asio::co_spawn(context_->control(), Refresh(), asio::detached);
+  asio::co_spawn(context_->control(), monitor_.Run(), asio::detached);
+  asio::co_spawn(context_->control(), heartbeats_.Run(), asio::detached);
+  kLog.Info("Sidecar started.", {{"id", settings_.common.id},
+                                 {"address", context_->advertised().ToString()},
+                                 {"deployment", settings_.deployment}});
+  return WritePortFile(settings_.common.port_file,
+                       {{"internal", context_->advertised()}});
+}
+
+void sidecar::Stop() {
+  context_->SetStopping();
+  BeginDrain("The process was asked to stop.");
+  asio::co_spawn(context_->control(), heartbeats_.SendToAll(), asio::use_future)
+      .wait();
+  const time_point deadline =
+      context_->time().Now() + settings_.common.drain_timeout;
+  while ((server_.server().active_requests() > 0 || !gate_.Report().drained) &&
+         context_->time().Now() < deadline) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  kLog.Info("Sidecar stopped.",
+            {{"cut_requests", server_.server().active_requests()}});
+  context_->StopThreads();
+}
+
+asio::awaitable<void> sidecar::Refresh() {
+  while (true) {
+    auto hosts = co_await ReadHostList(*context_);
+    if (hosts) {
+      for (const listed_host& host : *hosts) {
+        if (host.id == settings_.common.id && host.leaving) {
+          BeginDrain("The host list says that this host is leaving.");
+        }
+      }
+    }
+    refreshed_ = context_->time().Now().time_since_epoch().count();
+    co_await SleepFor(kRefreshInterval);
+  }
+}
+
+std::optional<error> sidecar::Refusal() const {
+  if (draining_) {
+    return error::Make(error_kind::draining,
+                       "the backend server takes no new work");
+  }
+  const time_point refreshed(duration(refreshed_.load()));
+  if (context_->time().Now() - refreshed > kMaxRefreshAge) {
+    return error::Make(error_kind::not_ready,
+                       "the sidecar has not refreshed its state");
+  }
+  if (!monitor_.alive()) {
+    return error::Make(error_kind::no_backend,
+                       "the backend server does not answer");
+  }
+  return std::nullopt;
+}
+
+heartbeat sidecar::Describe() const {
+  const gate_report report = gate_.Report();
+  const time_point now = context_->time().Now();
+  heartbeat message;
+  message.id = settings_.common.id;
+  message.deployment = settings_.deployment;
+  message.zone = settings_.common.zone;
+  message.address = context_->advertised().ToString();
+  message.incarnation = context_->incarnation();
+  const auto state = draining_          ? reported_state::draining
+                     : monitor_.alive() ? reported_state::serving
+                                        : reported_state::down;
+  message.state = static_cast<std::int32_t>(state);
+  message.free_online_slots = report.free_online_slots;
+  message.queue_length = report.queue_length;
+  message.running = report.online_running;
+  message.batch_running = report.batch_running;
+  message.step_time = std::chrono::duration_cast<std::chrono::microseconds>(
+      monitor_.step_time());
+  if (const auto contact = context_->store().last_contact()) {
+    message.store_contact_age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - *contact);
+  }
+  message.suspects = ToMessages(monitor_.Suspects());
+  return message;
+}
+
+void sidecar::OnReply(const host_address& /*from*/,
+                      const heartbeat_reply& reply) {
+  monitor_.MergeSuspects(FromMessages(reply.suspects));
+}
+
+void sidecar::BeginDrain(std::string_view reason) {
+  if (draining_.exchange(true)) {
+    return;
+  }
+  kLog.Info("Draining started.", {{"reason", reason}});
+  gate_.BeginDrain();
+  heartbeats_.SendNow();
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/node/src/node/sidecar/sidecar.h
@@ -0,0 +1,52 @@
+#ifndef CARDAMOMYARD_NODE_SIDECAR_SIDECAR_H_
+#define CARDAMOMYARD_NODE_SIDECAR_SIDECAR_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+
+#include "src/node/internal_server.h"
+#include "src/node/process_context.h"
+#include "src/node/sidecar/admission_gate.h"
+#include "src/node/sidecar/backend_monitor.h"
+#include "src/node/sidecar/heartbeat_sender.h"
+#include "src/node/sidecar/online_handler.h"
+
+namespace cardamomyard {
+
+/// \brief The process beside one backend server; its only admitter.
+class sidecar {
+ public:
+  static result<std::unique_ptr<sidecar>> Create(sidecar_settings settings);
+  ~sidecar();
+
+  result<void> Start();
+  /// Stops as planned: no new work, running requests finish. Blocks.
+  void Stop();
+  process_context& context() { return *context_; }
+
+ private:
+  sidecar(sidecar_settings settings, std::unique_ptr<process_context> context);
+
+  boost::asio::awaitable<void> Refresh();
+  /// \returns why no new work is taken, or nothing.
+  std::optional<error> Refusal() const;
+  heartbeat Describe() const;
+  void OnReply(const host_address& from, const heartbeat_reply& reply);
+  void BeginDrain(std::string_view reason);
+
+  sidecar_settings settings_;
+  std::unique_ptr<process_context> context_;
+  admission_gate gate_;
+  backend_monitor monitor_;
+  online_handler handler_;
+  internal_server server_;
+  heartbeat_sender heartbeats_;
+  std::atomic<bool> draining_{false};
+  std::atomic<duration::rep> refreshed_{0};
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_NODE_SIDECAR_SIDECAR_H_
--- /dev/null
+++ b/packages/node/src/node/suspect_codec.cc
@@ -0,0 +1,35 @@
+#include "src/node/suspect_codec.h"
+
+namespace cardamomyard {
+
+std::vector<suspect_message> ToMessages(
+    const std::vector<suspect_entry>& entries) {
+  std::vector<suspect_message> messages;
+  messages.reserve(entries.size());
+  for (const suspect_entry& entry : entries) {
+    messages.push_back({entry.print, static_cast<std::int32_t>(entry.state),
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            entry.expiry.time_since_epoch()),
+                        static_cast<std::int32_t>(entry.round)});
+  }
+  return messages;
+}
+
+std::vector<suspect_entry> FromMessages(
+    const std::vector<suspect_message>& messages) {
+  std::vector<suspect_entry> entries;
+  entries.reserve(messages.size());
+  for (const suspect_message& message : messages) {
+    if (message.state < 0 ||
+        message.state > static_cast<std::int32_t>(suspect_state::convicted)) {
+      continue;
+    }
+    entries.push_back({message.fingerprint,
+                       static_cast<std::uint32_t>(message.round),
+                       static_cast<suspect_state>(message.state),
+                       wall_time(message.expiry_unix_time)});
+  }
+  return entries;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/node/src/node/suspect_codec.h
@@ -0,0 +1,21 @@
+#ifndef CARDAMOMYARD_NODE_SUSPECT_CODEC_H_
+#define CARDAMOMYARD_NODE_SUSPECT_CODEC_H_
+
+#include <vector>
+
+#include "cardamomyard/routing.h"
+#include "cardamomyard/wire.h"
+
+namespace cardamomyard {
+
+/// \returns the entries as control messages carry them.
+std::vector<suspect_message> ToMessages(
+    const std::vector<suspect_entry>& entries);
+
+/// \returns the entries of a control message; unknown states are left out.
+std::vector<suspect_entry> FromMessages(
+    const std::vector<suspect_message>& messages);
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_NODE_SUSPECT_CODEC_H_
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -5,7 +5,8 @@
 struct Suspect {
   1: i64 fingerprint
   2: i32 state
-  3: i64 age_ms
+  3: i64 expiry_unix_ms
+  4: i32 round
 }
 
 struct PeerHost {
@@ -31,6 +32,7 @@
   14: list<Suspect> suspects
   15: i32 batch_running
   16: i64 batch_tokens
+  17: i64 sequence
 }
 
 struct HeartbeatReply {
@@ -64,4 +66,5 @@
 
 struct BorrowReply {
   1: double granted
+  2: i64 good_for_ms
 }
--- a/packages/wire/src/wire/codec.cc
+++ b/packages/wire/src/wire/codec.cc
@@ -66,17 +66,18 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
-thrift_wire::Suspect ToWire(const suspect_entry& entry) {
+thrift_wire::Suspect ToWire(const suspect_message& entry) {
   thrift_wire::Suspect wire;
   wire.fingerprint = static_cast<std::int64_t>(entry.fingerprint);
   wire.state = entry.state;
-  wire.age_ms = entry.age.count();
+  wire.expiry_unix_ms = entry.expiry_unix_time.count();
+  wire.round = entry.round;
   return wire;
 }
 
-suspect_entry FromWire(const thrift_wire::Suspect& wire) {
+suspect_message FromWire(const thrift_wire::Suspect& wire) {
   return {static_cast<std::uint64_t>(wire.fingerprint), wire.state,
-          std::chrono::milliseconds(wire.age_ms)};
+          std::chrono::milliseconds(wire.expiry_unix_ms), wire.round};
 }
 
 thrift_wire::PeerHost ToWire(const peer_host& host) {
@@ -130,6 +131,7 @@
   wire.suspects = ListToWire(message.suspects);
   wire.batch_running = message.batch_running;
   wire.batch_tokens = message.batch_tokens;
+  wire.sequence = message.sequence;
   return Serialize(wire);
 }
 
@@ -153,7 +155,8 @@
             {wire.prefix_digests.begin(), wire.prefix_digests.end()},
             ListFromWire(wire.suspects),
             wire.batch_running,
-            wire.batch_tokens};
+            wire.batch_tokens,
+            wire.sequence};
       });
 }
 
@@ -234,6 +237,7 @@
 std::string Encode(const borrow_reply& message) {
   thrift_wire::BorrowReply wire;
   wire.granted = message.granted;
+  wire.good_for_ms = message.good_for.count();
   return Serialize(wire);
 }
 
@@ -241,7 +245,8 @@
 result<borrow_reply> Decode(std::string_view bytes) {
   return Deserialize<thrift_wire::BorrowReply>(bytes).map(
       [](const thrift_wire::BorrowReply& wire) {
-        return borrow_reply{wire.granted};
+        return borrow_reply{wire.granted,
+                            std::chrono::milliseconds(wire.good_for_ms)};
       });
 }
 
--- a/packages/wire/src/wire/messages.h
+++ b/packages/wire/src/wire/messages.h
@@ -13,11 +13,13 @@
 using event_age = std::optional<std::chrono::milliseconds>;
 
 /// \brief A request fingerprint that is suspected to crash engines.
-struct suspect_entry {
+struct suspect_message {
   std::uint64_t fingerprint = 0;
   std::int32_t state = 0;
-  std::chrono::milliseconds age{0};
-  friend bool operator==(const suspect_entry&, const suspect_entry&) = default;
+  std::chrono::milliseconds expiry_unix_time{0};
+  std::int32_t round = 0;
+  friend bool operator==(const suspect_message&,
+                         const suspect_message&) = default;
 };
 
 /// \brief An entry host that the sender knows.
@@ -43,9 +45,11 @@
   std::int64_t generation = 0;
   event_age store_contact_age;
   std::vector<std::uint64_t> prefix_digests;
-  std::vector<suspect_entry> suspects;
+  std::vector<suspect_message> suspects;
   std::int32_t batch_running = 0;
   std::int64_t batch_tokens = 0;
+  /// Orders the heartbeats of one incarnation.
+  std::int64_t sequence = 0;
   friend bool operator==(const heartbeat&, const heartbeat&) = default;
 };
 
@@ -55,7 +59,7 @@
   std::int64_t generation = 0;
   event_age store_contact_age;
   std::vector<std::string> cancelled_jobs;
-  std::vector<suspect_entry> suspects;
+  std::vector<suspect_message> suspects;
   std::vector<peer_host> hosts;
   friend bool operator==(const heartbeat_reply&,
                          const heartbeat_reply&) = default;
@@ -70,7 +74,7 @@
   event_age store_contact_age;
   std::int64_t share_epoch = 0;
   std::vector<std::string> cancelled_jobs;
-  std::vector<suspect_entry> suspects;
+  std::vector<suspect_message> suspects;
   std::vector<peer_host> hosts;
   /// Host that the sender wants to remove from the share table, or empty.
   std::string removal_candidate;
@@ -89,6 +93,8 @@
 
 struct borrow_reply {
   double granted = 0;
+  /// How long the tokens may be used, from when the request was sent.
+  std::chrono::milliseconds good_for{0};
   friend bool operator==(const borrow_reply&, const borrow_reply&) = default;
 };
 
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -16,7 +16,7 @@
   message.state = 2;
   message.step_time = std::chrono::microseconds(1234);
   message.store_contact_age = std::chrono::milliseconds(5);
-  message.suspects = {{digest, 1, std::chrono::milliseconds(7)}};
+  message.suspects = {{digest, 1, std::chrono::milliseconds(7), 2}};
   message.batch_tokens = 1LL << 40;
   const auto decoded = Decode<heartbeat>(Encode(message));
   RC_ASSERT(decoded.has_value());
