--- a/packages/node/include/cardamomyard/node.h
+++ b/packages/node/include/cardamomyard/node.h
@@ -4,6 +4,7 @@
 /// \file
 /// Public header of the package node: the entry and sidecar roles.
 
+#include "src/node/run.h"
 #include "src/node/settings.h"
 
 #endif  // CARDAMOMYARD_NODE_H_
--- /dev/null
+++ b/packages/node/src/node/entry/backend_registry.h
@@ -0,0 +1,62 @@
+#ifndef CARDAMOMYARD_NODE_ENTRY_BACKEND_REGISTRY_H_
+#define CARDAMOMYARD_NODE_ENTRY_BACKEND_REGISTRY_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cardamomyard/membership.h"
+#include "cardamomyard/routing.h"
+#include "cardamomyard/wire.h"
+#include "src/node/host_list_client.h"
+#include "src/node/process_context.h"
+
+namespace cardamomyard {
+
+/// \brief The backend servers that an entry host knows, and the choice among
+/// them. Safe from any thread.
+class backend_registry {
+ public:
+  explicit backend_registry(process_context& context);
+
+  /// Takes a heartbeat of a sidecar.
+  void OnHeartbeat(const heartbeat& message);
+  /// Takes the host list; it only removes servers.
+  void OnHostList(const std::vector<listed_host>& hosts);
+  /// Drops servers that have become silent; call it several times a second.
+  void Refresh();
+
+  /// \returns a server of \p deployment for the next attempt.
+  result<routing_choice> Choose(const std::string& deployment,
+                                std::uint64_t prefix_hash,
+                                const std::vector<std::string>& excluded);
+  void Finished(const std::string& deployment, const std::string& id);
+
+  /// \returns the usable servers by deployment, for operators.
+  backend_snapshot Usable() const;
+  /// \returns the last heartbeat of every server heard, usable or not.
+  std::vector<heartbeat> Heartbeats() const;
+
+ private:
+  struct heard_heartbeat {
+    heartbeat message;
+    time_point at;
+  };
+
+  router& RouterOf(const std::string& deployment);
+
+  process_context* context_;
+  mutable std::mutex mutex_;
+  backend_view view_;
+  std::map<std::string, heard_heartbeat> last_;
+  std::map<std::string, router> routers_;
+  std::map<std::string, std::shared_ptr<const candidate_set>> sets_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_NODE_ENTRY_BACKEND_REGISTRY_H_
--- /dev/null
+++ b/packages/node/src/node/entry/entry.cc
@@ -0,0 +1,151 @@
+#include "src/node/entry/entry.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <thread>
+#include <utility>
+
+#include "src/node/control_client.h"
+#include "src/node/internal_api.h"
+#include "src/node/port_file.h"
+#include "src/node/suspect_codec.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+namespace {
+
+constexpr part_log kLog("entry");
+constexpr std::chrono::milliseconds kConfigPoll{1000};
+constexpr std::chrono::milliseconds kConfigWatch{20'000};
+constexpr std::chrono::milliseconds kHostListPoll{1000};
+constexpr std::chrono::milliseconds kBackendRefresh{100};
+constexpr std::chrono::milliseconds kDrainPoll{20};
+
+}  // namespace
+
+entry::entry(entry_settings settings, std::unique_ptr<process_context> context)
+    : settings_(std::move(settings)),
+      context_(std::move(context)),
+      config_(*context_),
+      backends_(*context_),
+      suspects_(*context_),
+      forwarder_(*context_, backends_, suspects_),
+      internal_(*context_),
+      callers_(*context_, settings_, config_, forwarder_, MakeServices()) {}
+
+entry::~entry() {
+  context_->StopThreads();
+}
+
+result<std::unique_ptr<entry>> entry::Create(entry_settings settings) {
+  auto context = process_context::Create(settings.common);
+  if (!context) {
+    return Fail(context.error());
+  }
+  return std::unique_ptr<entry>(
+      new entry(std::move(settings), std::move(*context)));
+}
+
+caller_services entry::MakeServices() {
+  caller_services services;
+  services.take_token = [](std::string) -> asio::awaitable<result<void>> {
+    co_return result<void>();
+  };
+  services.refusal = []() -> std::optional<error> { return std::nullopt; };
+  services.ready = [this] { return !draining_ && config_.view() != nullptr; };
+  return services;
+}
+
+result<void> entry::Start() {
+  internal_.AddControl(
+      std::string(internal_api::kHeartbeat),
+      [this](const http_request& request) { return OnHeartbeat(request); });
+  config_.AddHandlers(internal_);
+  if (result<void> started = internal_.Start(); !started) {
+    return started;
+  }
+  if (result<void> started = callers_.Start(); !started) {
+    return started;
+  }
+  asio::co_spawn(context_->control(), FollowConfig(), asio::detached);
+  asio::co_spawn(context_->control(), WatchConfig(), asio::detached);
+  asio::co_spawn(context_->control(), FollowHostList(), asio::detached);
+  asio::co_spawn(context_->control(), RefreshBackends(), asio::detached);
+  kLog.Info("Entry host started.",
+            {{"id", settings_.common.id},
+             {"callers", callers_.server().address().ToString()},
+             {"internal", context_->advertised().ToString()}});
+  return WritePortFile(settings_.common.port_file,
+                       {{"callers", callers_.server().address()},
+                        {"internal", context_->advertised()}});
+}
+
+void entry::Stop() {
+  draining_ = true;
+  context_->SetStopping();
+  kLog.Info("Draining started.", {{"reason", "The process was asked to stop."}});
+  // The balancer needs time to see the failing readiness.
+  std::this_thread::sleep_for(settings_.drain_notice);
+  callers_.server().StartDraining();
+  callers_.server().StopListening();
+  const time_point deadline =
+      context_->time().Now() + settings_.common.drain_timeout;
+  while (callers_.server().active_requests() > 0 &&
+         context_->time().Now() < deadline) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  kLog.Info("Entry host stopped.",
+            {{"cut_requests", callers_.server().active_requests()}});
+  context_->StopThreads();
+}
+
+asio::awaitable<http_response> entry::OnHeartbeat(const http_request& request) {
+  auto message = Decode<heartbeat>(request.body);
+  if (!message) {
+    co_return ErrorResponse(message.error(), "");
+  }
+  backends_.OnHeartbeat(*message);
+  suspects_.Merge(FromMessages(message->suspects));
+  heartbeat_reply reply;
+  reply.host = settings_.common.id;
+  reply.generation = static_cast<std::int64_t>(config_.in_force());
+  reply.suspects = ToMessages(suspects_.Entries());
+  http_response answer;
+  answer.body = Encode(reply);
+  co_return answer;
+}
+
+asio::awaitable<void> entry::FollowConfig() {
+  while (true) {
+    co_await config_.ReadStore();
+    co_await SleepFor(kConfigPoll);
+  }
+}
+
+asio::awaitable<void> entry::WatchConfig() {
+  while (true) {
+    auto watched = co_await config_.WatchStore(kConfigWatch);
+    if (!watched) {
+      co_await SleepFor(kConfigPoll);
+    }
+  }
+}
+
+asio::awaitable<void> entry::FollowHostList() {
+  while (true) {
+    auto hosts = co_await ReadHostList(*context_);
+    if (hosts) {
+      backends_.OnHostList(*hosts);
+    }
+    co_await SleepFor(kHostListPoll);
+  }
+}
+
+asio::awaitable<void> entry::RefreshBackends() {
+  while (true) {
+    backends_.Refresh();
+    co_await SleepFor(kBackendRefresh);
+  }
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/node/src/node/entry/entry.h
@@ -0,0 +1,54 @@
+#ifndef CARDAMOMYARD_NODE_ENTRY_ENTRY_H_
+#define CARDAMOMYARD_NODE_ENTRY_ENTRY_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+
+#include "src/node/config_follower.h"
+#include "src/node/entry/backend_registry.h"
+#include "src/node/entry/caller_server.h"
+#include "src/node/entry/forwarder.h"
+#include "src/node/entry/suspect_registry.h"
+#include "src/node/internal_server.h"
+#include "src/node/process_context.h"
+
+namespace cardamomyard {
+
+/// \brief An entry host: the process that callers and operators reach.
+class entry {
+ public:
+  static result<std::unique_ptr<entry>> Create(entry_settings settings);
+  ~entry();
+
+  result<void> Start();
+  /// Stops as planned: tells the balancer first, lets running requests finish
+  /// and closes connections between requests. Blocks.
+  void Stop();
+  process_context& context() { return *context_; }
+
+ private:
+  entry(entry_settings settings, std::unique_ptr<process_context> context);
+
+  caller_services MakeServices();
+  boost::asio::awaitable<http_response> OnHeartbeat(const http_request& request);
+  boost::asio::awaitable<void> FollowConfig();
+  boost::asio::awaitable<void> WatchConfig();
+  boost::asio::awaitable<void> FollowHostList();
+  boost::asio::awaitable<void> RefreshBackends();
+
+  entry_settings settings_;
+  std::unique_ptr<process_context> context_;
+  config_follower config_;
+  backend_registry backends_;
+  suspect_registry suspects_;
+  forwarder forwarder_;
+  internal_server internal_;
+  caller_server callers_;
+  std::atomic<bool> draining_{false};
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_NODE_ENTRY_ENTRY_H_
--- /dev/null
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -0,0 +1,187 @@
+#include "src/node/entry/forwarder.h"
+
+#include <utility>
+
+#include "src/node/internal_api.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+namespace {
+
+constexpr std::chrono::milliseconds kSidecarConnectTimeout{500};
+constexpr std::size_t kMaxErrorBytes = 64 * 1024;
+constexpr std::size_t kExchangeIdBytes = 8;
+
+http_request SidecarRequest(const forward_request& request,
+                            std::chrono::milliseconds budget,
+                            fingerprint print,
+                            bool isolated,
+                            const std::string& exchange_id) {
+  http_request forwarded;
+  forwarded.method = request.method;
+  forwarded.target = request.target;
+  forwarded.headers = request.headers;
+  forwarded.body = request.body;
+  header_list& headers = forwarded.headers;
+  headers.Set(internal_api::kRequestId, request.request_id);
+  headers.Set(internal_api::kTraceparent, request.trace.Child().ToHeader());
+  headers.Set(internal_api::kAccount, request.account);
+  headers.Set(internal_api::kWeight, std::to_string(request.weight));
+  headers.Set(internal_api::kRepeatable, request.repeatable ? "1" : "0");
+  headers.Set(internal_api::kDeadlineMs, std::to_string(budget.count()));
+  headers.Set(internal_api::kFingerprint, std::to_string(print));
+  headers.Set(internal_api::kIsolated, isolated ? "1" : "0");
+  headers.Set(internal_api::kExchangeId, exchange_id);
+  return forwarded;
+}
+
+}  // namespace
+
+forwarder::forwarder(process_context& context,
+                     backend_registry& backends,
+                     suspect_registry& suspects)
+    : context_(&context),
+      backends_(&backends),
+      suspects_(&suspects),
+      random_(static_cast<std::uint64_t>(context.incarnation())) {}
+
+asio::awaitable<std::optional<error>> forwarder::Forward(
+    http_exchange& exchange,
+    forward_request request) {
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  const fingerprint print = Fingerprint(request.account, path, request.body);
+  const suspect_decision decision = suspects_->Decide(print);
+  if (decision == suspect_decision::run_normally) {
+    co_return co_await ForwardWithRetries(exchange, request, print, false);
+  }
+  if (decision == suspect_decision::refuse) {
+    co_return error::Make(
+        error_kind::quarantined,
+        "the request is known to crash backend servers");
+  }
+  auto claimed = co_await suspects_->Claim(print);
+  if (!claimed) {
+    co_return claimed.error();
+  }
+  if (!*claimed) {
+    co_return co_await ForwardWithRetries(exchange, request, print, false);
+  }
+  std::optional<error> failure =
+      co_await ForwardWithRetries(exchange, request, print, true);
+  const bool survived =
+      !failure || failure->kind() != error_kind::backend_failed;
+  co_await suspects_->End(print, **claimed, survived);
+  co_return failure;
+}
+
+asio::awaitable<std::optional<error>> forwarder::ForwardWithRetries(
+    http_exchange& exchange,
+    const forward_request& request,
+    fingerprint print,
+    bool isolated) {
+  {
+    const std::lock_guard lock(mutex_);
+    budget_.AddRequest();
+  }
+  const time_point deadline = context_->time().Now() + request.timeout;
+  std::vector<std::string> excluded;
+  for (int attempts = 1;; ++attempts) {
+    attempt_report report =
+        co_await Attempt(exchange, request, excluded, deadline, isolated);
+    if (!report.relay.failure) {
+      co_return std::nullopt;
+    }
+    const error failure = *report.relay.failure;
+    if (report.relay.started) {
+      // The caller was told inside the stream.
+      co_return failure;
+    }
+    // A request that may have killed a server is repeated only in isolation.
+    const bool suspected =
+        suspects_->Decide(print) != suspect_decision::run_normally;
+    const bool may_repeat = request.repeatable && !isolated && !suspected;
+    const std::optional<duration> wait = NextAttempt(
+        {failure, may_repeat, 0, attempts, deadline});
+    if (!wait) {
+      co_return failure;
+    }
+    context_->metrics().Counter("cardamomyard_retries_total").Add();
+    co_await SleepFor(*wait);
+  }
+}
+
+std::optional<duration> forwarder::NextAttempt(const failed_attempt& attempt) {
+  const std::lock_guard lock(mutex_);
+  return policy_.NextAttempt(attempt, budget_, context_->time().Now(),
+                             random_);
+}
+
+asio::awaitable<forwarder::attempt_report> forwarder::Attempt(
+    http_exchange& exchange,
+    const forward_request& request,
+    std::vector<std::string>& excluded,
+    time_point deadline,
+    bool isolated) {
+  attempt_report report;
+  auto choice =
+      backends_->Choose(request.deployment, request.prefix_hash, excluded);
+  if (!choice) {
+    report.relay.failure = choice.error();
+    co_return report;
+  }
+  report.backend = choice->id;
+  const auto address = host_address::Parse(choice->address);
+  const auto budget = std::chrono::duration_cast<std::chrono::milliseconds>(
+      deadline - context_->time().Now());
+  if (!address || budget <= std::chrono::milliseconds::zero()) {
+    backends_->Finished(request.deployment, choice->id);
+    report.relay.failure =
+        error::Make(error_kind::timeout, "the deadline passed before a server "
+                                         "was reached")
+            .WithOutcome(outcome::not_run);
+    co_return report;
+  }
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  const std::string exchange_id = RandomHex(kExchangeIdBytes);
+  http_request forwarded = SidecarRequest(
+      request, budget, Fingerprint(request.account, path, request.body),
+      isolated, exchange_id);
+  context_->signer().Sign(forwarded);
+  call_options options;
+  options.connect_timeout = kSidecarConnectTimeout;
+  // The sidecar answers at its deadline; the margin lets that answer arrive.
+  options.head_timeout = budget + std::chrono::milliseconds(500);
+  options.idle_timeout = options.head_timeout;
+  auto opened = co_await context_->internal_http().Open(
+      *address, std::move(forwarded), options);
+  if (!opened) {
+    report.relay.failure = opened.error();
+    if (opened.error().ran() == outcome::not_run) {
+      report.relay.failure =
+          error::Make(error_kind::no_backend, opened.error().message());
+    }
+  } else if ((*opened)->headers().Get(internal_api::kExchangeId) !=
+             exchange_id) {
+    report.relay.failure =
+        error::Make(error_kind::backend_failed,
+                    "the answer belongs to another request");
+  } else if ((*opened)->status() >= 400 &&
+             (*opened)->headers().Get(internal_api::kRefusal)) {
+    result<std::string> body = co_await (*opened)->ReadAll(kMaxErrorBytes);
+    report.relay.failure =
+        ParseErrorBody((*opened)->status(), body ? *body : std::string());
+  } else {
+    relay_options relay;
+    relay.request_id = request.request_id;
+    relay.check = request.check;
+    report.relay =
+        co_await RelayAnswer(**opened, exchange, std::move(relay));
+  }
+  if (report.relay.failure) {
+    excluded.push_back(choice->id);
+  }
+  backends_->Finished(request.deployment, choice->id);
+  co_return report;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/node/src/node/entry/forwarder.h
@@ -0,0 +1,81 @@
+#ifndef CARDAMOMYARD_NODE_ENTRY_FORWARDER_H_
+#define CARDAMOMYARD_NODE_ENTRY_FORWARDER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "cardamomyard/routing.h"
+#include "src/node/answer_relay.h"
+#include "src/node/entry/backend_registry.h"
+#include "src/node/entry/caller.h"
+#include "src/node/entry/suspect_registry.h"
+
+namespace cardamomyard {
+
+/// \brief A checked request on its way to a deployment.
+struct forward_request {
+  std::string deployment;
+  std::string method;
+  std::string target;
+  header_list headers;  ///< Already reduced to what may be forwarded.
+  std::string body;
+  std::string account;
+  double weight = 1;
+  bool repeatable = false;
+  std::uint64_t prefix_hash = 0;
+  std::chrono::milliseconds timeout{60'000};
+  std::string request_id;
+  trace_context trace;
+  /// Fails when the request must end, for instance because its key was
+  /// withdrawn.
+  std::function<std::optional<error>()> check;
+};
+
+/// \brief Sends requests to sidecars and retries where that is allowed.
+class forwarder {
+ public:
+  forwarder(process_context& context,
+            backend_registry& backends,
+            suspect_registry& suspects);
+
+  /// Runs the request and passes its answer on.
+  /// \returns the failure when the caller has no answer yet, or nothing.
+  boost::asio::awaitable<std::optional<error>> Forward(http_exchange& exchange,
+                                                       forward_request request);
+
+ private:
+  struct attempt_report {
+    relay_report relay;
+    std::string backend;
+  };
+
+  boost::asio::awaitable<attempt_report> Attempt(
+      http_exchange& exchange,
+      const forward_request& request,
+      std::vector<std::string>& excluded,
+      time_point deadline,
+      bool isolated);
+  boost::asio::awaitable<std::optional<error>> ForwardWithRetries(
+      http_exchange& exchange,
+      const forward_request& request,
+      fingerprint print,
+      bool isolated);
+  std::optional<duration> NextAttempt(const failed_attempt& attempt);
+
+  process_context* context_;
+  backend_registry* backends_;
+  suspect_registry* suspects_;
+  std::mutex mutex_;
+  retry_policy policy_;
+  retry_budget budget_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_NODE_ENTRY_FORWARDER_H_
--- /dev/null
+++ b/packages/node/src/node/entry/inference_request.cc
@@ -0,0 +1,93 @@
+#include "src/node/entry/inference_request.h"
+
+#include <boost/json.hpp>
+
+namespace cardamomyard {
+namespace json = boost::json;
+namespace {
+
+// Text beyond this does not change the choice of a backend server.
+constexpr std::size_t kMaxPromptBytes = 4096;
+
+void AppendText(const json::value& content, std::string& prompt) {
+  if (content.is_string()) {
+    prompt += content.as_string();
+  } else if (content.is_array()) {
+    for (const json::value& part : content.as_array()) {
+      const json::value* text =
+          part.is_object() ? part.as_object().if_contains("text") : nullptr;
+      if (text != nullptr && text->is_string()) {
+        prompt += text->as_string();
+      }
+    }
+  }
+}
+
+result<std::string> ChatPrompt(const json::object& fields) {
+  const json::value* messages = fields.if_contains("messages");
+  if (messages == nullptr || !messages->is_array() ||
+      messages->as_array().empty()) {
+    return Fail(error_kind::invalid_request,
+                "\"messages\" must be an array with at least one message");
+  }
+  std::string prompt;
+  for (const json::value& message : messages->as_array()) {
+    const json::value* content =
+        message.is_object() ? message.as_object().if_contains("content")
+                            : nullptr;
+    if (content == nullptr) {
+      return Fail(error_kind::invalid_request,
+                  "each message must be an object with \"content\"");
+    }
+    if (prompt.size() < kMaxPromptBytes) {
+      AppendText(*content, prompt);
+    }
+  }
+  return prompt;
+}
+
+result<std::string> PlainPrompt(const json::object& fields) {
+  const json::value* prompt = fields.if_contains("prompt");
+  if (prompt == nullptr || !prompt->is_string()) {
+    return Fail(error_kind::invalid_request, "\"prompt\" must be a string");
+  }
+  return std::string(prompt->as_string());
+}
+
+}  // namespace
+
+result<inference_request> ParseInferenceRequest(std::string_view path,
+                                                std::string_view body) {
+  boost::system::error_code code;
+  const json::value parsed = json::parse({body.data(), body.size()}, code);
+  if (code || !parsed.is_object()) {
+    return Fail(error_kind::invalid_request,
+                "the body must be a JSON object" +
+                    (code ? ": " + code.message() : std::string()));
+  }
+  const json::object& fields = parsed.as_object();
+  inference_request request;
+  const json::value* model = fields.if_contains("model");
+  if (model == nullptr || !model->is_string()) {
+    return Fail(error_kind::invalid_request, "\"model\" must be a string");
+  }
+  request.model = model->as_string();
+  const json::value* stream = fields.if_contains("stream");
+  if (stream != nullptr && !stream->is_bool()) {
+    return Fail(error_kind::invalid_request, "\"stream\" must be a boolean");
+  }
+  request.stream = stream != nullptr && stream->as_bool();
+  // Only a sidecar may resume a request; it keeps the tokens' account.
+  if (fields.contains("resume")) {
+    return Fail(error_kind::invalid_request, "\"resume\" is not accepted");
+  }
+  auto prompt = path.ends_with("/chat/completions") ? ChatPrompt(fields)
+                                                    : PlainPrompt(fields);
+  if (!prompt) {
+    return Fail(prompt.error());
+  }
+  request.prompt = prompt->substr(0, kMaxPromptBytes);
+  return request;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/node/src/node/entry/suspect_registry.cc
@@ -0,0 +1,147 @@
+#include "src/node/entry/suspect_registry.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace {
+
+constexpr part_log kLog("suspects");
+// Longest isolated run; afterwards the claim counts as a lost run.
+constexpr std::chrono::milliseconds kClaimLifetime{60'000};
+
+std::string ClaimKey(fingerprint print) {
+  return "suspect/" + std::to_string(print);
+}
+
+std::string ToJson(const suspect_claim& claim) {
+  const auto expiry = std::chrono::duration_cast<std::chrono::milliseconds>(
+      claim.expiry.time_since_epoch());
+  const json::object record{{"holder", claim.holder},
+                            {"round", claim.round},
+                            {"runs", claim.runs},
+                            {"verdict", static_cast<int>(claim.verdict)},
+                            {"expiry_unix_ms", expiry.count()},
+                            {"nonce", RandomHex(8)}};
+  return json::serialize(record);
+}
+
+std::optional<suspect_claim> ParseClaim(const std::string& text) {
+  boost::system::error_code code;
+  const json::value record = json::parse(text, code);
+  if (code || !record.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    suspect_claim claim;
+    claim.holder = json::value_to<std::string>(record.at("holder"));
+    claim.round = record.at("round").to_number<std::uint32_t>();
+    claim.runs = record.at("runs").to_number<int>();
+    claim.verdict =
+        static_cast<claim_verdict>(record.at("verdict").to_number<int>());
+    claim.expiry = wall_time(std::chrono::milliseconds(
+        record.at("expiry_unix_ms").to_number<std::int64_t>()));
+    return claim;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+tl::unexpected<error> Quarantined(const std::string& reason) {
+  return Fail(error_kind::quarantined,
+              "the request is suspected to crash backend servers: " + reason);
+}
+
+}  // namespace
+
+suspect_registry::suspect_registry(process_context& context)
+    : context_(&context) {}
+
+suspect_decision suspect_registry::Decide(fingerprint print) const {
+  const std::lock_guard lock(mutex_);
+  return table_.Decide(print, context_->time().WallNow());
+}
+
+asio::awaitable<result<std::optional<isolated_run>>> suspect_registry::Claim(
+    fingerprint print) {
+  auto read = co_await context_->store().Get(ClaimKey(print));
+  if (!read) {
+    co_return Quarantined("the object API does not answer");
+  }
+  std::optional<suspect_claim> current;
+  if (*read) {
+    current = ParseClaim((*read)->value);
+  }
+  const wall_time now = context_->time().WallNow();
+  claim_decision decision;
+  {
+    const std::lock_guard lock(mutex_);
+    decision = DecideClaim(current, context_->settings().id,
+                           table_.Round(print, now), now, kClaimLifetime);
+    if (std::holds_alternative<claim_cleared>(decision)) {
+      table_.Survived(print, now);
+      co_return std::nullopt;
+    }
+    if (std::holds_alternative<claim_convicted>(decision)) {
+      table_.Convicted(print, now);
+      co_return Quarantined("it crashed a backend server while alone");
+    }
+  }
+  if (std::holds_alternative<claim_held>(decision)) {
+    co_return Quarantined("another host runs it now");
+  }
+  isolated_run run;
+  run.claim = std::get<claim_granted>(decision).record;
+  std::string record = ToJson(run.claim);
+  auto written = co_await context_->store().Put(
+      ClaimKey(print), std::move(record), IfUnchanged(*read));
+  if (!written) {
+    co_return Quarantined("the claim could not be written");
+  }
+  run.version = *written;
+  {
+    const std::lock_guard lock(mutex_);
+    table_.IsolatedRunStarted(print, now);
+  }
+  kLog.Info("Isolated run started.", {{"fingerprint", print}});
+  co_return run;
+}
+
+asio::awaitable<void> suspect_registry::End(fingerprint print,
+                                            isolated_run run,
+                                            bool server_survived) {
+  const wall_time now = context_->time().WallNow();
+  {
+    const std::lock_guard lock(mutex_);
+    if (server_survived) {
+      table_.Survived(print, now);
+    } else {
+      table_.Convicted(print, now);
+    }
+  }
+  kLog.Warning(server_survived ? "Suspect cleared." : "Suspect convicted.",
+               {{"fingerprint", print}});
+  std::string record = ToJson(EndClaim(run.claim, server_survived, now));
+  const write_condition condition = write_if_version{run.version};
+  // When this write fails the claim lapses and counts as a lost run.
+  co_await context_->store().Put(ClaimKey(print), std::move(record),
+                                 condition);
+}
+
+bool suspect_registry::Merge(const std::vector<suspect_entry>& entries) {
+  const std::lock_guard lock(mutex_);
+  bool changed = false;
+  for (const suspect_entry& entry : entries) {
+    changed |= table_.Merge(entry, context_->time().WallNow());
+  }
+  return changed;
+}
+
+std::vector<suspect_entry> suspect_registry::Entries() const {
+  const std::lock_guard lock(mutex_);
+  return table_.Entries(context_->time().WallNow());
+}
+
+}  // namespace cardamomyard
--- a/packages/node/src/node/internal_api.h
+++ b/packages/node/src/node/internal_api.h
@@ -24,6 +24,10 @@
 /// detected.
 inline constexpr std::string_view kExchangeId = "X-Cardamomyard-Exchange";
 
+/// Marks an error of the sidecar itself, as opposed to an answer of the backend
+/// server that is passed on.
+inline constexpr std::string_view kRefusal = "X-Cardamomyard-Refusal";
+
 inline constexpr std::string_view kRequestId = "X-Request-Id";
 inline constexpr std::string_view kTraceparent = "traceparent";
 
--- /dev/null
+++ b/packages/node/src/node/run.cc
@@ -0,0 +1,56 @@
+#include "src/node/run.h"
+
+#include <pthread.h>
+
+#include <csignal>
+#include <utility>
+
+#include "src/node/entry/entry.h"
+#include "src/node/sidecar/sidecar.h"
+
+namespace cardamomyard {
+namespace {
+
+/// Blocks the stop signals in every thread that is started later.
+sigset_t BlockStopSignals() {
+  sigset_t stop;
+  sigemptyset(&stop);
+  sigaddset(&stop, SIGTERM);
+  sigaddset(&stop, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &stop, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return stop;
+}
+
+template <class Role, class Settings>
+result<void> RunRole(const Settings& settings) {
+  const sigset_t stop = BlockStopSignals();
+  auto role = Role::Create(settings);
+  if (!role) {
+    return Fail(role.error());
+  }
+  if (result<void> started = (*role)->Start(); !started) {
+    return started;
+  }
+  int signal = 0;
+  sigwait(&stop, &signal);
+  (*role)->Stop();
+  return {};
+}
+
+struct role_runner {
+  result<void> operator()(const entry_settings& settings) const {
+    return RunRole<entry>(settings);
+  }
+  result<void> operator()(const sidecar_settings& settings) const {
+    return RunRole<sidecar>(settings);
+  }
+};
+
+}  // namespace
+
+result<void> RunServer(const server_settings& settings) {
+  return std::visit(role_runner{}, settings);
+}
+
+}  // namespace cardamomyard
--- a/packages/node/src/node/sidecar/online_handler.cc
+++ b/packages/node/src/node/sidecar/online_handler.cc
@@ -106,6 +106,7 @@
   if (failure && !exchange.answer_started()) {
     http_response refusal = ErrorResponse(*failure, request_id_text);
     refusal.headers.Set(internal_api::kExchangeId, exchange_id);
+    refusal.headers.Set(internal_api::kRefusal, "1");
     co_await exchange.Send(std::move(refusal));
   }
   if (failure) {
