--- /dev/null
+++ b/packages/keys/src/keys/credentials.cc
@@ -0,0 +1,67 @@
+#include "src/keys/credentials.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <string_view>
+
+#include "src/keys/client_key.h"
+
+namespace cardamomyard {
+namespace {
+
+// Longer than any key and any admin token.
+constexpr std::size_t kMaxTokenBytes = 512;
+
+/// \returns whether \p text is a token68 of RFC 9110 of sane length.
+bool IsToken(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxTokenBytes &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 ||
+                  std::string_view("-._~+/=").find(static_cast<char>(c)) !=
+                      std::string_view::npos;
+         });
+}
+
+}  // namespace
+
+result<std::optional<std::string>> ExtractKey(
+    const header_list& headers,
+    const std::map<std::string, std::string>& query) {
+  const auto refuse = [](const std::string& message) {
+    return Fail(error_kind::invalid_credentials,
+                message + "; send the key as \"Authorization: Bearer <key>\"");
+  };
+  if (headers.Count("X-Api-Key") != 0) {
+    return refuse("X-Api-Key is not accepted");
+  }
+  constexpr std::array<std::string_view, 3> kNames{"api_key", "key",
+                                                   "access_token"};
+  for (const auto& [name, value] : query) {
+    const bool is_key_name = std::any_of(
+        kNames.begin(), kNames.end(),
+        [&name](auto wanted) { return SameHeaderName(name, wanted); });
+    // A key under any other name would reach the backend server.
+    if (is_key_name || ContainsKey(value) || ContainsKey(name)) {
+      return refuse("a key in the query is not accepted");
+    }
+  }
+  const std::size_t count = headers.Count("Authorization");
+  if (count == 0) {
+    return std::optional<std::string>();
+  }
+  if (count > 1) {
+    return refuse("there must be one Authorization header, not " +
+                  std::to_string(count));
+  }
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string value = *headers.Get("Authorization");
+  const auto scheme = std::string_view(value).substr(0, kScheme.size());
+  if (!SameHeaderName(scheme, kScheme) ||
+      !IsToken(std::string_view(value).substr(scheme.size()))) {
+    return refuse("the Authorization header is malformed");
+  }
+  return std::optional<std::string>(value.substr(kScheme.size()));
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/keys/src/keys/key_table.cc
@@ -0,0 +1,52 @@
+#include "src/keys/key_table.h"
+
+#include <charconv>
+#include <utility>
+
+#include "src/keys/client_key.h"
+
+namespace cardamomyard {
+namespace {
+
+std::uint64_t HashPart(std::string_view sha256) {
+  std::uint64_t part = 0;
+  const std::string_view digits = sha256.substr(0, 16);
+  std::from_chars(digits.data(), digits.data() + digits.size(), part, 16);
+  return part;
+}
+
+}  // namespace
+
+key_table::key_table(configuration source) : source_(std::move(source)) {
+  const auto keys = source_.All<key_config>();
+  by_hash_part_.reserve(keys.size());
+  for (const key_config* key : keys) {
+    by_hash_part_.emplace(HashPart(key->sha256), key);
+  }
+}
+
+result<key_owner> key_table::Check(std::string_view key_text) const {
+  if (IsKeyText(key_text)) {
+    const std::string sha256 = Sha256Hex(key_text);
+    const auto [first, last] = by_hash_part_.equal_range(HashPart(sha256));
+    for (auto entry = first; entry != last; ++entry) {
+      const key_config& key = *entry->second;
+      if (!ConstantTimeEqual(key.sha256, sha256)) {
+        continue;
+      }
+      if (key.withdrawn) {
+        return Fail(error_kind::key_withdrawn,
+                    "the key " + key.id + " is withdrawn");
+      }
+      return key_owner{key.account, key.id};
+    }
+  }
+  return Fail(error_kind::invalid_credentials, "the key is not known");
+}
+
+bool key_table::IsWithdrawn(std::string_view key_id) const {
+  const key_config* key = source_.FindKey(key_id);
+  return key == nullptr || key->withdrawn;
+}
+
+}  // namespace cardamomyard
