Require every key of a folder entry after the merge

A file cut between two lines could leave an account without models, which means all models. JSON from the administration API keeps its defaults, since a cut body does not parse.

--- a/packages/config/bench/merge_bench.cc
+++ b/packages/config/bench/merge_bench.cc
@@ -20,7 +20,7 @@
       accounts += "[account." + name + "]\nrate_per_second = 20.5\nburst = " +
                   std::to_string(i + 1) + "\nweight = 1.0\nmodels = []\n";
       keys += "[key." + name + "-1]\naccount = \"" + name + "\"\nsha256 = \"" +
-              Sha256Hex(name) + "\"\n";
+              Sha256Hex(name) + "\"\nwithdrawn = false\n";
     }
     return std::vector<config_file>{{"a.toml", accounts}, {"k.toml", keys}};
   }();
--- a/packages/config/src/config/fields.cc
+++ b/packages/config/src/config/fields.cc
@@ -17,7 +17,11 @@
 /// Reads typed keys out of a field_map and collects what is wrong with them.
 class field_reader {
  public:
-  explicit field_reader(const field_map& fields) : fields_(fields) {}
+  field_reader(const field_map& fields, missing_keys missing)
+      : fields_(fields), all_required_(missing == missing_keys::refuse) {}
+
+  /// \returns whether keys that have a default must be given, too.
+  bool all_required() const { return all_required_; }
 
   void Decimal(std::string_view key,
                double* out,
@@ -63,7 +67,8 @@
   }
 
   void Flag(std::string_view key, bool* out) {
-    const field_value* value = Find(key, "", false);
+    const field_value* value =
+        Find(key, "expected true or false", all_required_);
     if (value == nullptr) {
       return;
     }
@@ -94,13 +99,14 @@
             std::vector<std::string>* out,
             const std::string& expected,
             bool required,
-            Check check) {
+            Check check,
+            std::size_t fewest = 0) {
     const field_value* value = Find(key, expected, required);
     if (value == nullptr) {
       return;
     }
     const auto* list = std::get_if<std::vector<std::string>>(value);
-    if (list == nullptr || (required && list->empty()) ||
+    if (list == nullptr || list->size() < fewest ||
         !std::all_of(list->begin(), list->end(), check) ||
         std::set<std::string>(list->begin(), list->end()).size() !=
             list->size()) {
@@ -143,6 +149,7 @@
   }
 
   const field_map& fields_;
+  bool all_required_;
   std::set<std::string, std::less<>> known_;
   std::vector<field_problem> problems_;
 };
@@ -168,14 +175,15 @@
     "expected a list of different strings of letters, digits, '.', '_', '-'";
 
 void Read(field_reader& in, balance_config& out) {
-  in.Decimal("batch_weight", &out.batch_weight, 0, 1, false);
+  in.Decimal("batch_weight", &out.batch_weight, 0, 1, in.all_required());
 }
 
 void Read(field_reader& in, model_config& out) {
   in.Whole("context_tokens", &out.context_tokens, 1, 1048576, true);
   in.List("versions", &out.versions, kExpectVersions + ", at least one", true,
+          IsVersion, 1);
+  in.List("adapters", &out.adapters, kExpectVersions, in.all_required(),
           IsVersion);
-  in.List("adapters", &out.adapters, kExpectVersions, false, IsVersion);
   in.Flag("engine_checks_fencing", &out.engine_checks_fencing);
 }
 
@@ -188,9 +196,9 @@
 void Read(field_reader& in, account_config& out) {
   in.Decimal("rate_per_second", &out.rate_per_second, 0.001, 1000000, true);
   in.Whole("burst", &out.burst, 1, 1000000, true);
-  in.Decimal("weight", &out.weight, 0.01, 1000, false);
+  in.Decimal("weight", &out.weight, 0.01, 1000, in.all_required());
   in.List("models", &out.models, "expected a list of different model names",
-          false, IsName);
+          in.all_required(), IsName);
 }
 
 void Read(field_reader& in, key_config& out) {
@@ -236,7 +244,8 @@
 tl::expected<entity, std::vector<field_problem>> BuildEntity(
     std::string_view kind,
     std::string_view name,
-    const field_map& fields) {
+    const field_map& fields,
+    missing_keys missing) {
   constexpr std::array<entity (*)(std::string_view),
                        std::variant_size_v<entity>>
       kMakers{Named<balance_config>, Named<model_config>, Named<service_config>,
@@ -246,7 +255,7 @@
     if (EntityKind(value) != kind) {
       continue;
     }
-    field_reader reader(fields);
+    field_reader reader(fields, missing);
     if (kind != "balance" && !IsName(name)) {
       reader.Report("", kExpectName + ", got \"" + std::string(name) + "\"");
     }
--- a/packages/config/src/config/fields.h
+++ b/packages/config/src/config/fields.h
@@ -28,12 +28,19 @@
   std::string message;
 };
 
+/// \brief What a key that is not given means.
+///
+/// The folder must give every key: a file cut between two lines could otherwise
+/// leave an account without its list of models, which means all models.
+enum class missing_keys { take_defaults, refuse };
+
 /// \brief Makes the entity \p kind \p name from its keys, checking names,
 /// types and ranges; unknown keys are refused.
 tl::expected<entity, std::vector<field_problem>> BuildEntity(
     std::string_view kind,
     std::string_view name,
-    const field_map& fields);
+    const field_map& fields,
+    missing_keys missing = missing_keys::take_defaults);
 
 /// \returns the keys of \p value. BuildEntity(ToFields(x)) is x.
 field_map ToFields(const entity& value);
--- a/packages/config/src/config/folder.cc
+++ b/packages/config/src/config/folder.cc
@@ -170,7 +170,8 @@
   std::map<std::string, const merged_entry*> by_id;
   for (const auto& [id, entry] : merger.entries()) {
     const auto& [kind, name] = id;
-    auto built = internal::BuildEntity(kind, name, entry.fields);
+    auto built = internal::BuildEntity(kind, name, entry.fields,
+                                       internal::missing_keys::refuse);
     if (built) {
       records.push_back(MakeRecord(
           std::move(*built), {entity_origin::source::folder, entry.last.file}));
--- a/packages/config/src/config/folder.h
+++ b/packages/config/src/config/folder.h
@@ -31,10 +31,12 @@
 
 /// \brief Merges the files in the order of their names and checks the result.
 ///
-/// A later file overrides single keys of an entry. A file that does not end
-/// with a line break is refused, since `burst = 4` may be the start of
-/// `burst = 40`.
-/// \returns the configuration, all of origin folder, or every fault found.
+/// A later file overrides single keys of an entry. After the merge every entry
+/// must have all its keys (open_rate_per_second and open_burst only on open
+/// routes), so that a truncated entry is refused. For the same reason a file
+/// that does not end with a line break is refused, since `burst = 4` may be the
+/// start of `burst = 40`. \returns the configuration, all of origin folder, or
+/// every fault found.
 tl::expected<configuration, std::vector<config_error>> ParseFolder(
     std::vector<config_file> files);
 
--- a/packages/config/test/edit_test.cc
+++ b/packages/config/test/edit_test.cc
@@ -14,9 +14,10 @@
 }
 
 const std::string kAccount =
-    "[account.acme]\nrate_per_second = 1\nburst = 40\n";
-const std::string kKey =
-    "[key.k]\naccount = \"acme\"\nsha256 = \"" + kHash + "\"\n";
+    "[account.acme]\nrate_per_second = 1\nburst = 40\nweight = 1\nmodels = "
+    "[]\n";
+const std::string kKey = "[key.k]\naccount = \"acme\"\nsha256 = \"" + kHash +
+                         "\"\nwithdrawn = false\n";
 
 // Guards against an edit through the API that the next folder would undo.
 TEST(EditTest, FolderEntitiesAreRefusedWithTheirFile) {
@@ -42,8 +43,9 @@
   ASSERT_TRUE(applied);
   EXPECT_NE(applied->FindAccount("beta"), nullptr);
   EXPECT_EQ(applied->FindAccount("acme"), nullptr);
-  const auto taken = ApplyFolder(
-      *put, Folder("[account.beta]\nrate_per_second = 1\nburst = 1\n"));
+  const auto taken =
+      ApplyFolder(*put, Folder("[account.beta]\nrate_per_second = 1\nburst = "
+                               "1\nweight = 1\nmodels = []\n"));
   ASSERT_FALSE(taken);
   EXPECT_EQ(taken.error().kind(), error_kind::conflict);
   EXPECT_NE(taken.error().message().find("a.toml"), std::string::npos);
@@ -88,7 +90,8 @@
 TEST(EditTest, DiffNamesWhatChanges) {
   const configuration before = Folder(kAccount + kKey);
   const configuration after = Folder(
-      "[account.acme]\nrate_per_second = 1\nburst = 50\n"
+      "[account.acme]\nrate_per_second = 1\nburst = 50\nweight = 1\nmodels = "
+      "[]\n"
       "[service.s]\ntimeout_ms = 5\n");
   EXPECT_EQ(Diff(before, after),
             (std::vector<std::string>{
--- a/packages/config/test/folder_test.cc
+++ b/packages/config/test/folder_test.cc
@@ -57,6 +57,8 @@
     std::string report;
   };
   const std::string hash(64, 'a');
+  const std::string active = "withdrawn = false\n";
+  const std::string closed = "repeatable = false\nopen = false\n";
   const std::vector<faulty> cases{
       {"[account.acme]\nburts = 4\n", "b.toml:2: account.acme.burts: unknown"},
       {"[account.acme]\nburst = 0\n",
@@ -72,21 +74,25 @@
        "b.toml:1: account.Acme: expected a name"},
       {"[account.beta]\nburst = 1\n",
        "b.toml:1: account.beta.rate_per_second: missing, expected a number"},
-      {"[key.k]\naccount = \"no\"\nsha256 = \"" + hash + "\"\n",
+      {"[key.k]\naccount = \"no\"\nsha256 = \"" + hash + "\"\n" + active,
        "b.toml:2: key.k.account: expected the name of an account"},
       {"[key.k]\naccount = \"acme\"\nsha256 = \"12\"\n",
        "b.toml:3: key.k.sha256: expected 64 lower-case hex digits"},
       {"[key.k]\naccount = \"acme\"\nsha256 = "
-       "\"e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855\"\n",
+       "\"e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855\""
+       "\n" +
+           active,
        "b.toml:3: key.k.sha256: expected a hash of its own"},
-      {"[route.r]\npath_prefix = \"/orders\"\nservice = \"ledger-app\"\n",
+      {"[route.r]\npath_prefix = \"/orders\"\nservice = \"ledger-app\"\n" +
+           closed,
        "b.toml:2: route.r.path_prefix: expected a prefix of its own"},
-      {"[route.r]\npath_prefix = \"/v1/x\"\nservice = \"ledger-app\"\n",
+      {"[route.r]\npath_prefix = \"/v1/x\"\nservice = \"ledger-app\"\n" +
+           closed,
        "b.toml:2: route.r.path_prefix: expected a path"},
-      {"[route.r]\npath_prefix = \"/r\"\nservice = \"no\"\n",
+      {"[route.r]\npath_prefix = \"/r\"\nservice = \"no\"\n" + closed,
        "b.toml:3: route.r.service: expected the name of a service"},
       {"[route.r]\npath_prefix = \"/r\"\nservice = \"ledger-app\"\n"
-       "open = true\nopen_burst = 1\n",
+       "repeatable = true\nopen = true\nopen_burst = 1\n",
        "b.toml:1: route.r.open_rate_per_second: missing"},
       {"[acount.x]\n", "b.toml:1: acount: unknown key"},
       {"balance = 1\n", "b.toml:1: balance: expected a table"},
@@ -114,10 +120,28 @@
   }
 }
 
+// Guards against an entry that lost its last lines: without its models an
+// account may use all of them.
+TEST(FolderTest, Rule13_EntryWithoutAKeyIsRefused) {
+  std::size_t line = kPage.find('\n') + 1;
+  while (line < kPage.size()) {
+    const std::size_t end = kPage.find('\n', line) + 1;
+    // The limits of a closed route are the only keys that may be missing.
+    if (kPage[line] != '[' && kPage.compare(line, 5, "open_") != 0) {
+      std::string text = kPage;
+      text.erase(line, end - line);
+      EXPECT_FALSE(ParseFolder({{"a.toml", text}}))
+          << kPage.substr(line, end - line);
+    }
+    line = end;
+  }
+}
+
 // Guards against a route that answers for a path outside its prefix, which
 // could open a path that needs a key (rule 4).
 TEST(FolderTest, Rule04_LongestPrefixEndsAtASegment) {
-  const std::string service = "service = \"s\"\n";
+  const std::string service =
+      "service = \"s\"\nrepeatable = false\nopen = false\n";
   const auto parsed = ParseFolder(
       {{"a.toml",
         "[service.s]\ntimeout_ms = 1\n[route.a]\npath_prefix = "
@@ -145,11 +169,15 @@
     std::vector<config_file> files;
     for (int file = 0; file < file_count; ++file) {
       std::string text;
-      const auto touched =
-          *rc::gen::unique<std::vector<int>>(rc::gen::inRange(0, 6));
-      for (const int index : touched) {
+      for (int index = 0; index < 6; ++index) {
+        if (*rc::gen::arbitrary<bool>()) {
+          continue;
+        }
         const std::string name = "a" + std::to_string(index);
         text += "[account." + name + "]\n";
+        if (naive.count(name) == 0) {
+          text += "models = []\n";
+        }
         for (const std::string key : {"burst", "rate_per_second", "weight"}) {
           if (naive[name].count(key) == 0 || *rc::gen::arbitrary<bool>()) {
             naive[name][key] = *rc::gen::inRange(1, 1000);
--- a/packages/keys/test/keys_test.cc
+++ b/packages/keys/test/keys_test.cc
@@ -10,13 +10,14 @@
 using query_map = std::map<std::string, std::string>;
 
 configuration WithKeys(const new_key& good, const new_key& other) {
-  const std::string account = "rate_per_second = 1\nburst = 1\n";
+  const std::string account =
+      "rate_per_second = 1\nburst = 1\nweight = 1\nmodels = []\n";
   const auto parsed = ParseFolder(
       {{"a.toml", "[account.acme]\n" + account + "[account.beta]\n" + account +
                       "[key." + good.id + "]\naccount = \"acme\"\nsha256 = \"" +
-                      good.sha256 + "\"\n[key." + other.id +
+                      good.sha256 + "\"\nwithdrawn = false\n[key." + other.id +
                       "]\naccount = \"beta\"\nsha256 = \"" + other.sha256 +
-                      "\"\n"}});
+                      "\"\nwithdrawn = false\n"}});
   EXPECT_TRUE(parsed) << parsed.error().front().ToString();
   return parsed.value();
 }
