--- a/packages/config/test/shards_test.cc
+++ b/packages/config/test/shards_test.cc
@@ -11,6 +11,7 @@
 
 configuration Accounts(const std::map<int, int>& bursts) {
   std::vector<record_ptr> records;
+  records.reserve(bursts.size());
   for (const auto& [index, burst] : bursts) {
     records.push_back(MakeRecord(
         account_config{"a" + std::to_string(index), 0.1 * burst, burst, 1, {}},
@@ -94,6 +95,7 @@
 // Guards against a blob that the object API would refuse.
 TEST(ShardsTest, OversizedShardIsRefused) {
   std::vector<std::string> versions;
+  versions.reserve(10000);
   for (int i = 0; i < 10000; ++i) {
     versions.push_back(std::string(100, 'v') + std::to_string(i));
   }
@@ -148,7 +150,7 @@
       const std::uint64_t before = tracker.in_force();
       const auto missing = tracker.MissingBlobs();
       if (step < 12) {
-        const auto generation = static_cast<std::size_t>(step / 2 + 1);
+        const auto generation = static_cast<std::size_t>(step) / 2 + 1;
         RC_ASSERT(tracker.OfferHead(heads[generation]) ==
                   (generation > highest));
         highest = std::max<std::uint64_t>(highest, generation);
--- a/packages/statechart/src/statechart/state_chart.cc
+++ b/packages/statechart/src/statechart/state_chart.cc
@@ -97,19 +97,8 @@
     const auto from = (*row)["from"].value_or(std::string());
     const auto event = (*row)["event"].value_or(std::string());
     const auto to = (*row)["to"].value_or(std::string());
-    for (const std::string& state : {from, to}) {
-      if (!chart.states_.contains(state)) {
-        return fail(line + "transition names the unknown state \"" + state +
-                    "\"");
-      }
-    }
-    if (chart.states_[from].is_final) {
-      return fail(line + "final state \"" + from +
-                  "\" has an outgoing transition on \"" + event + "\"");
-    }
-    if (!chart.states_[from].next.emplace(event, to).second) {
-      return fail(line + "duplicate transition from \"" + from + "\" on \"" +
-                  event + "\"");
+    if (auto added = chart.AddTransition(from, event, to); !added) {
+      return fail(line + added.error().message());
     }
   }
   if (auto checked = chart.CheckComplete(); !checked) {
@@ -118,6 +107,28 @@
   return chart;
 }
 
+result<void> state_chart::AddTransition(const std::string& from,
+                                        const std::string& event,
+                                        const std::string& to) {
+  const bool from_exists = HasState(from);
+  if (!from_exists || !HasState(to)) {
+    return Fail(error_kind::invalid_request,
+                "transition names the unknown state \"" +
+                    (from_exists ? to : from) + "\"");
+  }
+  if (IsFinal(from)) {
+    return Fail(error_kind::invalid_request,
+                "final state \"" + from +
+                    "\" has an outgoing transition on \"" + event + "\"");
+  }
+  if (!states_[from].next.emplace(event, to).second) {
+    return Fail(
+        error_kind::invalid_request,
+        "duplicate transition from \"" + from + "\" on \"" + event + "\"");
+  }
+  return {};
+}
+
 result<void> state_chart::CheckComplete() const {
   std::set<std::string> reached{initial_};
   std::vector<std::string> open{initial_};
--- a/packages/statechart/src/statechart/state_chart.h
+++ b/packages/statechart/src/statechart/state_chart.h
@@ -44,6 +44,9 @@
     friend bool operator==(const state&, const state&) = default;
   };
 
+  result<void> AddTransition(const std::string& from,
+                             const std::string& event,
+                             const std::string& to);
   result<void> CheckComplete() const;
 
   std::string name_;
