Set all test environment variables and the rule labels

Cause: gtest_discover_tests splits list properties, so ctest set RC_PARAMS only and took CARDAMOMYARD_CHARTS as the name of a property; the two tests that load the charts failed under ctest and passed by hand. Escaped separators (one trial with \\;) came out split as well. A TEST_INCLUDE_FILES script sets the list, and the rule-NN labels that the comment promised. ctest -L 'config|keys|statechart': 26 of 26 pass, labels rule-02 to rule-13 listed.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -35,11 +35,21 @@
 # Rule07_... gets the label rule-07. The seed of rapidcheck is fixed so that every run
 # gives the same verdict.
 function(cy_discover_tests target labels)
-  gtest_discover_tests(
-    ${target}
-    DISCOVERY_TIMEOUT 60
-    PROPERTIES LABELS "${labels}" TIMEOUT 300 ENVIRONMENT
-               "RC_PARAMS=seed=20261204 max_success=200;CARDAMOMYARD_CHARTS=${CMAKE_SOURCE_DIR}/charts;CARDAMOMYARD_BIN=${CMAKE_BINARY_DIR}/bin"
-  )
+  gtest_discover_tests(${target} DISCOVERY_TIMEOUT 60 TEST_LIST ${target}_tests PROPERTIES TIMEOUT 300)
+  # gtest_discover_tests splits properties that are lists: of several environment variables
+  # only the first was set. This file sets them when ctest starts.
+  set(script ${CMAKE_CURRENT_BINARY_DIR}/${target}_properties.cmake)
+  file(
+    WRITE ${script}
+    "foreach(test IN LISTS ${target}_tests)
+  set(labels \"${labels}\")
+  if(test MATCHES \"Rule([0-9][0-9])\")
+    list(APPEND labels rule-\${CMAKE_MATCH_1})
+  endif()
+  set_tests_properties(\${test} PROPERTIES LABELS \"\${labels}\" ENVIRONMENT
+    \"RC_PARAMS=seed=20261204 max_success=200;CARDAMOMYARD_CHARTS=${CMAKE_SOURCE_DIR}/charts;CARDAMOMYARD_BIN=${CMAKE_BINARY_DIR}/bin\")
+endforeach()
+")
+  set_property(DIRECTORY APPEND PROPERTY TEST_INCLUDE_FILES ${script})
 endfunction()
 include(GoogleTest)
