--- /dev/null
+++ b/packages/limits/include/cardamomyard/limits.h
@@ -0,0 +1,12 @@
+#ifndef CARDAMOMYARD_LIMITS_H_
+#define CARDAMOMYARD_LIMITS_H_
+
+/// \file
+/// Public header of the package limits: rates of client accounts.
+
+#include "src/limits/account_limiter.h"
+#include "src/limits/naive_limiter.h"
+#include "src/limits/share_table.h"
+#include "src/limits/token_bucket.h"
+
+#endif  // CARDAMOMYARD_LIMITS_H_
--- /dev/null
+++ b/packages/membership/include/cardamomyard/membership.h
@@ -0,0 +1,11 @@
+#ifndef CARDAMOMYARD_MEMBERSHIP_H_
+#define CARDAMOMYARD_MEMBERSHIP_H_
+
+/// \file
+/// Public header of the package membership: backend servers, entry hosts, contact.
+
+#include "src/membership/backend_view.h"
+#include "src/membership/contact_monitor.h"
+#include "src/membership/host_view.h"
+
+#endif  // CARDAMOMYARD_MEMBERSHIP_H_
--- /dev/null
+++ b/packages/membership/test/view_test.cc
@@ -0,0 +1,81 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "cardamomyard/membership.h"
+
+namespace cardamomyard {
+namespace {
+
+using std::chrono::seconds;
+
+const time_point kStart{std::chrono::hours(1)};
+
+backend_report Report(std::uint64_t incarnation,
+                      std::uint64_t sequence,
+                      backend_state state) {
+  backend_report r;
+  r.id = "s1";
+  r.deployment = "d";
+  r.incarnation = incarnation;
+  r.sequence = sequence;
+  r.state = state;
+  return r;
+}
+
+// Guards against work for a server that is silent, drains or leaves.
+TEST(BackendViewTest, Rule11_LeavingServersAreNotUsable) {
+  backend_view view(seconds(5));
+  view.Heartbeat(Report(1, 1, backend_state::serving), kStart);
+  EXPECT_EQ(view.Usable(kStart)->at("d").size(), 1U);
+  EXPECT_TRUE(view.Usable(kStart + seconds(3))->empty());
+  view.HostList({}, {"s1"}, kStart);
+  EXPECT_TRUE(view.Usable(kStart)->empty());
+  view.HostList({"s1"}, {}, kStart);
+  EXPECT_FALSE(view.Usable(kStart)->empty());
+  view.Heartbeat(Report(1, 2, backend_state::draining), kStart);
+  EXPECT_TRUE(view.Usable(kStart)->empty());
+}
+
+// Guards against a late heartbeat that revives a server.
+TEST(BackendViewTest, Rule11_OldReportsReviveNothing) {
+  backend_view view(seconds(5));
+  view.Heartbeat(Report(2, 2, backend_state::draining), kStart);
+  EXPECT_FALSE(view.Heartbeat(Report(1, 9, backend_state::serving), kStart));
+  EXPECT_FALSE(view.Heartbeat(Report(2, 1, backend_state::serving), kStart));
+  EXPECT_FALSE(view.Heartbeat(Report(2, 3, backend_state::serving), kStart));
+  EXPECT_TRUE(view.Usable(kStart)->empty());
+  EXPECT_TRUE(view.Heartbeat(Report(3, 1, backend_state::serving), kStart));
+  EXPECT_FALSE(view.Usable(kStart)->empty());
+}
+
+// Guards against a lagging list that removes a server which has just joined.
+TEST(BackendViewTest, MissingFromTheListRemovesAfterItsLag) {
+  backend_view view(seconds(5));
+  view.Heartbeat(Report(1, 1, backend_state::serving), kStart);
+  view.HostList({}, {}, kStart + seconds(4));
+  view.Heartbeat(Report(1, 2, backend_state::serving), kStart + seconds(4));
+  EXPECT_FALSE(view.Usable(kStart + seconds(4))->empty());
+  view.HostList({}, {}, kStart + seconds(6));
+  EXPECT_TRUE(view.Usable(kStart + seconds(6))->empty());
+}
+
+// Guards against lost hosts as watchers and digests of an old incarnation.
+TEST(HostViewTest, WatchersAreLiveAndPeersDiffer) {
+  host_view view("h0", 7);
+  for (const char* id : {"h0", "h1", "h2", "h3", "h4"}) {
+    view.Known(id, "127.0.0.1:1");
+    view.Heard(id, "127.0.0.1:1", 2, kStart);
+  }
+  EXPECT_EQ(view.RandomPeers(9).size(), 4U);
+  EXPECT_FALSE(view.Heard("h1", "", 1, kStart + seconds(20)));
+  view.Heard("h2", "", 3, kStart + seconds(20));
+  EXPECT_EQ(view.Lost(seconds(10), kStart + seconds(20)).size(), 3U);
+  std::vector<std::string> watchers =
+      view.Watchers(seconds(10), kStart + seconds(20));
+  std::ranges::sort(watchers);
+  EXPECT_EQ(watchers, (std::vector<std::string>{"h0", "h2"}));
+}
+
+}  // namespace
+}  // namespace cardamomyard
