--- /dev/null
+++ b/packages/limits/test/limiter_test.cc
@@ -0,0 +1,97 @@
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "cardamomyard/limits.h"
+
+namespace cardamomyard {
+namespace {
+
+using std::chrono::seconds;
+
+const time_point kStart{std::chrono::hours(1)};
+const share_table kOne{1, {"host-0"}};
+
+std::shared_ptr<const limits_snapshot> Limits(double rate, double burst) {
+  return std::make_shared<const limits_snapshot>(
+      limits_snapshot{{"a", {rate, burst}}});
+}
+
+int AdmitAll(account_limiter& limiter, time_point now) {
+  int count = 0;
+  while (std::holds_alternative<admitted>(limiter.Admit("a", now))) {
+    ++count;
+  }
+  return count;
+}
+
+// Guards against a removal by a minority or of half of the hosts.
+TEST(ShareTableTest, Rule07_RemovalNeedsAMajority) {
+  const share_table table{4, {"a", "b", "c", "d"}};
+  EXPECT_FALSE(PlanRemoval(table, {"d"}, {"a", "b"}));
+  EXPECT_FALSE(PlanRemoval(table, {"c", "d"}, {"a", "b", "c"}));
+  EXPECT_FALSE(PlanRemoval(table, {"d"}, {"a", "b", "d"}));
+  EXPECT_EQ(PlanRemoval(table, {"d"}, {"a", "b", "c"}),
+            (share_table{5, {"a", "b", "c"}}));
+  EXPECT_FALSE(PlanJoin(table, "a"));
+}
+
+// Guards against homes that could never hold a whole token.
+TEST(ShareTableTest, EachHomeHoldsAToken) {
+  EXPECT_EQ(HomeCount({1000, 3}, 560), 3U);
+  EXPECT_EQ(HomeCount({1000, 500}, 560), 50U);
+  EXPECT_EQ(HomeCount({1000, 500}, 4), 4U);
+  EXPECT_EQ(HomeCount({0.001, 0.5}, 0), 1U);
+}
+
+// Guards against a burst that a restart or a raised limit grants again.
+TEST(LimiterTest, Rule07_RestartsAndIncreasesStartEmpty) {
+  account_limiter limiter("host-0");
+  limiter.SetTable(kOne, table_origin::found, kStart);
+  limiter.SetContact(time_point::max(), kStart);
+  limiter.SetAccounts(1, Limits(1, 10), kStart);
+  limiter.ConfirmTable(1, kStart);
+  limiter.ConfirmAccounts(1, kStart);
+  EXPECT_EQ(AdmitAll(limiter, kStart + seconds(6)), 0);
+  EXPECT_EQ(AdmitAll(limiter, kStart + seconds(8)), 2);
+  EXPECT_EQ(AdmitAll(limiter, kStart + seconds(100)), 10);
+  limiter.SetAccounts(2, Limits(10, 100), kStart + seconds(100));
+  limiter.ConfirmAccounts(2, kStart + seconds(100));
+  EXPECT_EQ(AdmitAll(limiter, kStart + seconds(106)), 6);
+  EXPECT_EQ(AdmitAll(limiter, kStart + seconds(107)), 10);
+  EXPECT_EQ(AdmitAll(limiter, kStart + seconds(120)), 100);
+  limiter.SetAccounts(3, Limits(1, 1), kStart + seconds(140));
+  EXPECT_EQ(AdmitAll(limiter, kStart + seconds(140)), 1);
+}
+
+// Guards against the share of a paused host that others have used meanwhile.
+TEST(LimiterTest, Rule07_ALapseOfContactEmptiesTheBuckets) {
+  account_limiter limiter("host-0");
+  limiter.SetTable(kOne, table_origin::created_fresh, kStart);
+  limiter.SetContact(kStart + seconds(5), kStart);
+  limiter.SetAccounts(1, Limits(1, 10), kStart);
+  EXPECT_EQ(AdmitAll(limiter, kStart), 10);
+  const admission late = limiter.Admit("a", kStart + seconds(5));
+  EXPECT_EQ(std::get<refused>(late).kind, error_kind::isolated);
+  limiter.SetContact(kStart + seconds(99), kStart + seconds(60));
+  EXPECT_EQ(AdmitAll(limiter, kStart + seconds(60)), 0);
+}
+
+// Guards against tokens that two threads take at the same time.
+TEST(LimiterTest, Rule07_ThreadsShareOneBucket) {
+  account_limiter limiter("host-0");
+  limiter.SetTable(kOne, table_origin::created_fresh, kStart);
+  limiter.SetContact(time_point::max(), kStart);
+  limiter.SetAccounts(1, Limits(1, 10000), kStart);
+  std::atomic<int> count = 0;
+  {
+    std::vector<std::jthread> threads;
+    for (int t = 0; t < 4; ++t) {
+      threads.emplace_back([&] { count += AdmitAll(limiter, kStart); });
+    }
+  }
+  EXPECT_EQ(count, 10000);
+}
+
+}  // namespace
+}  // namespace cardamomyard
