--- a/packages/node/src/node/config_follower.cc
+++ b/packages/node/src/node/config_follower.cc
@@ -48,8 +48,7 @@
     blob_source fetch = [this](std::string name) {
       return StoreBlob(std::move(name));
     };
-    auto applied =
-        co_await Apply(std::move((*head)->value), std::move(fetch));
+    auto applied = co_await Apply(std::move((*head)->value), std::move(fetch));
     if (!applied) {
       co_return Fail(applied.error());
     }
@@ -69,8 +68,7 @@
     blob_source fetch = [this](std::string name) {
       return StoreBlob(std::move(name));
     };
-    auto applied =
-        co_await Apply(std::move((*head)->value), std::move(fetch));
+    auto applied = co_await Apply(std::move((*head)->value), std::move(fetch));
     if (!applied) {
       co_return Fail(applied.error());
     }
--- a/packages/node/src/node/entry/backend_registry.cc
+++ b/packages/node/src/node/entry/backend_registry.cc
@@ -26,8 +26,7 @@
   return report;
 }
 
-backend_candidate ToCandidate(const backend_report& report,
-                              time_point heard) {
+backend_candidate ToCandidate(const backend_report& report, time_point heard) {
   backend_candidate candidate;
   candidate.id = report.id;
   candidate.zone = report.zone;
@@ -105,8 +104,7 @@
     return found->second;
   }
   return routers_
-      .emplace(deployment,
-               router(affinity_router(context_->settings().zone)))
+      .emplace(deployment, router(affinity_router(context_->settings().zone)))
       .first->second;
 }
 
--- a/packages/node/src/node/entry/caller.cc
+++ b/packages/node/src/node/entry/caller.cc
@@ -41,8 +41,7 @@
 }
 
 std::string ChooseRequestId(const header_list& headers) {
-  const std::string sent =
-      headers.Get(internal_api::kRequestId).value_or("");
+  const std::string sent = headers.Get(internal_api::kRequestId).value_or("");
   const bool well_formed =
       !sent.empty() && sent.size() <= kMaxRequestIdBytes &&
       std::all_of(sent.begin(), sent.end(), IsRequestIdCharacter) &&
--- a/packages/node/src/node/entry/caller_server.cc
+++ b/packages/node/src/node/entry/caller_server.cc
@@ -268,9 +268,9 @@
   }
   const account_config* account = content.FindAccount(request.account);
   if (account == nullptr || !account->MayUse(parsed->model)) {
-    co_return error::Make(error_kind::forbidden,
-                          "the client account may not use the model \"" +
-                              parsed->model + "\"");
+    co_return error::Make(
+        error_kind::forbidden,
+        "the client account may not use the model \"" + parsed->model + "\"");
   }
   result<void> token = co_await services_.take_token(request.account);
   if (!token) {
@@ -314,8 +314,8 @@
   forwarded.prefix_hash = Hash64(request.request_id);
   const auto idempotency_key = request.head.headers.Get("Idempotency-Key");
   if (!route.repeatable && idempotency_key && services_.run_idempotent) {
-    co_return co_await services_.run_idempotent(
-        exchange, std::move(forwarded), *idempotency_key);
+    co_return co_await services_.run_idempotent(exchange, std::move(forwarded),
+                                                *idempotency_key);
   }
   co_return co_await forwarder_->Forward(exchange, std::move(forwarded));
 }
--- a/packages/node/src/node/entry/caller_server.h
+++ b/packages/node/src/node/entry/caller_server.h
@@ -16,9 +16,8 @@
 namespace cardamomyard {
 
 /// Answers one request; the caller is authenticated where the API needs it.
-using caller_handler = std::function<boost::asio::awaitable<void>(
-    http_exchange&,
-    caller_request)>;
+using caller_handler =
+    std::function<boost::asio::awaitable<void>(http_exchange&, caller_request)>;
 
 /// \brief What the caller server asks of the rest of the entry host.
 struct caller_services {
@@ -31,10 +30,8 @@
   std::function<bool()> ready;
   /// Runs a call that may not be repeated and carries an Idempotency-Key.
   /// \returns the failure when the caller has no answer yet.
-  std::function<boost::asio::awaitable<std::optional<error>>(
-      http_exchange&,
-      forward_request,
-      std::string idempotency_key)>
+  std::function<boost::asio::awaitable<std::optional<
+      error>>(http_exchange&, forward_request, std::string idempotency_key)>
       run_idempotent;
 };
 
--- a/packages/node/src/node/entry/entry.cc
+++ b/packages/node/src/node/entry/entry.cc
@@ -83,7 +83,8 @@
 void entry::Stop() {
   draining_ = true;
   context_->SetStopping();
-  kLog.Info("Draining started.", {{"reason", "The process was asked to stop."}});
+  kLog.Info("Draining started.",
+            {{"reason", "The process was asked to stop."}});
   // The balancer needs time to see the failing readiness.
   std::this_thread::sleep_for(settings_.drain_notice);
   callers_.server().StartDraining();
--- a/packages/node/src/node/entry/entry.h
+++ b/packages/node/src/node/entry/entry.h
@@ -32,7 +32,8 @@
   entry(entry_settings settings, std::unique_ptr<process_context> context);
 
   caller_services MakeServices();
-  boost::asio::awaitable<http_response> OnHeartbeat(const http_request& request);
+  boost::asio::awaitable<http_response> OnHeartbeat(
+      const http_request& request);
   boost::asio::awaitable<void> FollowConfig();
   boost::asio::awaitable<void> WatchConfig();
   boost::asio::awaitable<void> FollowHostList();
--- a/packages/node/src/node/entry/forwarder.cc
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -55,9 +55,8 @@
     co_return co_await ForwardWithRetries(exchange, request, print, false);
   }
   if (decision == suspect_decision::refuse) {
-    co_return error::Make(
-        error_kind::quarantined,
-        "the request is known to crash backend servers");
+    co_return error::Make(error_kind::quarantined,
+                          "the request is known to crash backend servers");
   }
   auto claimed = co_await suspects_->Claim(print);
   if (!claimed) {
@@ -100,8 +99,8 @@
     const bool suspected =
         suspects_->Decide(print) != suspect_decision::run_normally;
     const bool may_repeat = request.repeatable && !isolated && !suspected;
-    const std::optional<duration> wait = NextAttempt(
-        {failure, may_repeat, 0, attempts, deadline});
+    const std::optional<duration> wait =
+        NextAttempt({failure, may_repeat, 0, attempts, deadline});
     if (!wait) {
       co_return failure;
     }
@@ -112,8 +111,7 @@
 
 std::optional<duration> forwarder::NextAttempt(const failed_attempt& attempt) {
   const std::lock_guard lock(mutex_);
-  return policy_.NextAttempt(attempt, budget_, context_->time().Now(),
-                             random_);
+  return policy_.NextAttempt(attempt, budget_, context_->time().Now(), random_);
 }
 
 asio::awaitable<forwarder::attempt_report> forwarder::Attempt(
@@ -135,10 +133,10 @@
       deadline - context_->time().Now());
   if (!address || budget <= std::chrono::milliseconds::zero()) {
     backends_->Finished(request.deployment, choice->id);
-    report.relay.failure =
-        error::Make(error_kind::timeout, "the deadline passed before a server "
-                                         "was reached")
-            .WithOutcome(outcome::not_run);
+    report.relay.failure = error::Make(error_kind::timeout,
+                                       "the deadline passed before a server "
+                                       "was reached")
+                               .WithOutcome(outcome::not_run);
     co_return report;
   }
   const std::string path = request.target.substr(0, request.target.find('?'));
@@ -162,9 +160,8 @@
     }
   } else if ((*opened)->headers().Get(internal_api::kExchangeId) !=
              exchange_id) {
-    report.relay.failure =
-        error::Make(error_kind::backend_failed,
-                    "the answer belongs to another request");
+    report.relay.failure = error::Make(error_kind::backend_failed,
+                                       "the answer belongs to another request");
   } else if ((*opened)->status() >= 400 &&
              (*opened)->headers().Get(internal_api::kRefusal)) {
     result<std::string> body = co_await (*opened)->ReadAll(kMaxErrorBytes);
@@ -174,8 +171,7 @@
     relay_options relay;
     relay.request_id = request.request_id;
     relay.check = request.check;
-    report.relay =
-        co_await RelayAnswer(**opened, exchange, std::move(relay));
+    report.relay = co_await RelayAnswer(**opened, exchange, std::move(relay));
   }
   if (report.relay.failure) {
     excluded.push_back(choice->id);
--- a/packages/node/src/node/entry/suspect_registry.cc
+++ b/packages/node/src/node/entry/suspect_registry.cc
@@ -126,8 +126,7 @@
   std::string record = ToJson(EndClaim(run.claim, server_survived, now));
   const write_condition condition = write_if_version{run.version};
   // When this write fails the claim lapses and counts as a lost run.
-  co_await context_->store().Put(ClaimKey(print), std::move(record),
-                                 condition);
+  co_await context_->store().Put(ClaimKey(print), std::move(record), condition);
 }
 
 bool suspect_registry::Merge(const std::vector<suspect_entry>& entries) {
