Add the decision package batch

Cause: section 10 of the design (upload, jobs, groups, cancel, idempotency) needs its decisions apart from sockets, so that they can be fuzzed. Ruled out: Boost.JSON in public headers (compile time). Conclusion: the package is complete for the sidecar and entry roles; it is not yet used by them.

--- /dev/null
+++ b/packages/batch/src/batch/idempotency.h
@@ -0,0 +1,85 @@
+#ifndef CARDAMOMYARD_BATCH_IDEMPOTENCY_H_
+#define CARDAMOMYARD_BATCH_IDEMPOTENCY_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+
+namespace cardamomyard {
+
+/// \brief A stored answer of a non-idempotent request.
+struct stored_answer {
+  int status = 0;
+  std::string content_type;
+  std::string body;  ///< Any bytes.
+
+  friend bool operator==(const stored_answer&, const stored_answer&) = default;
+};
+
+/// `released` means that the run certainly did not start.
+enum class idempotency_state { claimed, released, answered, answer_too_large };
+
+/// \brief Record `idem/<account>/<hash>`, written by conditional update.
+struct idempotency_record {
+  idempotency_state state = idempotency_state::claimed;
+  std::string request_hash;
+  std::string host;
+  wall_time claimed_at;
+  stored_answer answer;
+  std::string nonce;  ///< Differs for every write.
+
+  std::string ToJson() const;
+  static result<idempotency_record> Parse(std::string_view text);
+  friend bool operator==(const idempotency_record&,
+                         const idempotency_record&) = default;
+};
+
+/// \returns the store key for the \p idempotency_key of \p account.
+std::string IdempotencyObject(std::string_view account,
+                              std::string_view idempotency_key);
+/// \returns the hash that tells requests with the same key apart.
+std::string RequestHash(std::string_view method,
+                        std::string_view target,
+                        std::string_view body);
+
+struct run_request {};           ///< Claim, then run.
+struct request_conflict {};      ///< The key came with another request.
+struct request_outcome_lost {};  ///< Answer with `unknown_outcome`.
+using replay_decision = std::
+    variant<run_request, stored_answer, request_outcome_lost, request_conflict>;
+
+/// \brief Decides what to do with a request whose key was looked up.
+replay_decision Replay(const std::optional<idempotency_record>& record,
+                       std::string_view request_hash);
+
+/// \brief Claims a request before its run, to be written on the condition of
+/// the version read (create-only when there was no record). The run may start
+/// only after this record is stored.
+/// \returns the record, or `conflict` or `unknown_outcome` when Replay does not
+/// say `run_request`.
+result<idempotency_record> ClaimIdempotent(
+    const std::optional<idempotency_record>& before,
+    std::string_view request_hash,
+    std::string_view host,
+    wall_time now,
+    std::string nonce);
+
+/// \brief Stores the answer of the run. An answer above 256 KB is only noted.
+/// \param claim_nonce  nonce of the claim whose run gave the answer.
+result<idempotency_record> FinishIdempotent(idempotency_record record,
+                                            std::string_view claim_nonce,
+                                            stored_answer answer,
+                                            std::string nonce);
+
+/// \brief Gives the claim back after a run that ended as `not_run`.
+result<idempotency_record> ReleaseIdempotent(idempotency_record record,
+                                             std::string_view claim_nonce,
+                                             std::string nonce);
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_BATCH_IDEMPOTENCY_H_
--- /dev/null
+++ b/packages/batch/src/batch/json_fields.cc
@@ -0,0 +1,95 @@
+#include "src/batch/json_fields.h"
+
+#include <algorithm>
+#include <exception>
+
+#include "src/base/digest.h"
+#include "src/batch/batch_limits.h"
+
+namespace cardamomyard::internal {
+namespace json = boost::json;
+
+result<json::value> ParseJson(std::string_view text) {
+  json::parse_options options;
+  options.max_depth = 128;
+  json::error_code failure;
+  json::value value =
+      json::parse({text.data(), text.size()}, failure, {}, options);
+  if (failure) {
+    return Fail(error_kind::invalid_request,
+                "invalid JSON: " + failure.message());
+  }
+  return value;
+}
+
+result<void> ReadRecord(std::string_view text,
+                        std::string_view what,
+                        const std::function<void(const json::object&)>& read) {
+  const result<json::value> value = ParseJson(text);
+  if (!value) {
+    return Fail(error_kind::internal,
+                std::string(what) + ": " + value.error().message());
+  }
+  try {
+    read(value->as_object());
+  } catch (const std::exception& failure) {
+    return Fail(
+        error_kind::internal,
+        std::string(what) + ": missing or wrong field: " + failure.what());
+  }
+  return {};
+}
+
+std::string Text(const json::object& from, std::string_view name) {
+  return json::value_to<std::string>(from.at({name.data(), name.size()}));
+}
+
+std::uint64_t Number(const json::object& from, std::string_view name) {
+  return from.at({name.data(), name.size()}).to_number<std::uint64_t>();
+}
+
+wall_time WallTime(const json::object& from, std::string_view name) {
+  return wall_time(std::chrono::milliseconds(
+      from.at({name.data(), name.size()}).to_number<std::int64_t>()));
+}
+
+std::int64_t WallMs(wall_time at) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             at.time_since_epoch())
+      .count();
+}
+
+std::string ShortHash(std::initializer_list<std::string_view> parts) {
+  std::string input;
+  for (const std::string_view part : parts) {
+    input += std::to_string(part.size()) + ":";
+    input += part;
+  }
+  return Sha256Hex(input).substr(0, 32);
+}
+
+std::string ValidText(std::string_view text) {
+  std::string out(text);
+  if (!ParseJson(json::serialize(json::string(text)))) {
+    std::replace_if(
+        out.begin(), out.end(),
+        [](char c) { return static_cast<unsigned char>(c) >= 0x80; }, '?');
+  }
+  return out;
+}
+
+std::string BoundedMessage(std::string_view text) {
+  std::size_t size = std::min(text.size(), kMaxMessageBytes);
+  // Does not cut inside a UTF-8 sequence.
+  while (size > 0 && size < text.size() &&
+         (static_cast<unsigned char>(text[size]) & 0xc0) == 0x80) {
+    --size;
+  }
+  std::string out = ValidText(text.substr(0, size));
+  std::replace_if(
+      out.begin(), out.end(),
+      [](char c) { return static_cast<unsigned char>(c) < 0x20; }, ' ');
+  return out;
+}
+
+}  // namespace cardamomyard::internal
--- /dev/null
+++ b/packages/batch/src/batch/segment.cc
@@ -0,0 +1,161 @@
+#include "src/batch/segment.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "src/batch/batch_limits.h"
+#include "src/batch/json_fields.h"
+#include "src/batch/raw_json.h"
+
+namespace cardamomyard {
+namespace {
+namespace json = boost::json;
+
+std::string Quoted(std::string_view text) {
+  return json::serialize(json::string(internal::ValidText(text)));
+}
+
+std::string BodyText(std::string_view body) {
+  return internal::ParseJson(body) ? internal::OneLine(body) : Quoted(body);
+}
+
+result<std::size_t> ItemOf(const json::object& line) {
+  const json::value* id = line.if_contains("id");
+  const json::string* text = id == nullptr ? nullptr : id->if_string();
+  if (text != nullptr) {
+    const std::string_view view(text->data(), text->size());
+    const std::string_view digits = view.substr(view.rfind('-') + 1);
+    std::size_t item = 0;
+    const auto [end, failure] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), item);
+    if (failure == std::errc() && end == digits.data() + digits.size()) {
+      return item;
+    }
+  }
+  return Fail(error_kind::internal, "a result line has no valid id");
+}
+
+}  // namespace
+
+std::string ResultLine(std::string_view job_id,
+                       std::size_t group,
+                       const item_answer& answer) {
+  const std::string id = std::string(job_id) + "-" + std::to_string(group) +
+                         "-" + std::to_string(answer.item);
+  std::string line = "{\"id\":" + Quoted(id) +
+                     ",\"custom_id\":" + Quoted(answer.custom_id) +
+                     ",\"response\":";
+  if (answer.status == 0) {
+    line += "null";
+  } else {
+    line += "{\"status_code\":" + std::to_string(answer.status) +
+            ",\"request_id\":" + Quoted(answer.request_id) +
+            ",\"body\":" + BodyText(answer.body) + "}";
+  }
+  line += ",\"error\":";
+  if (answer.failure) {
+    line += json::serialize(
+        json::object{{"code", ToString(*answer.failure)},
+                     {"message", internal::BoundedMessage(answer.message)}});
+  } else {
+    line += "null";
+  }
+  return line + "}";
+}
+
+token_usage ReadUsage(std::string_view body) {
+  const result<json::value> value = internal::ParseJson(body);
+  const json::object* fields = value ? value->if_object() : nullptr;
+  const json::value* usage = fields ? fields->if_contains("usage") : nullptr;
+  if (usage == nullptr || !usage->is_object()) {
+    return {};
+  }
+  const auto number = [usage](std::string_view name) -> std::uint64_t {
+    const json::value* field =
+        usage->get_object().if_contains({name.data(), name.size()});
+    json::error_code failure;
+    const auto count =
+        field ? field->to_number<std::uint64_t>(failure) : std::uint64_t{0};
+    return failure ? 0 : count;
+  };
+  return {number("prompt_tokens"), number("completion_tokens")};
+}
+
+segment_builder::segment_builder(std::string job_id, std::size_t group)
+    : job_id_(std::move(job_id)), group_(group) {}
+
+result<bool> segment_builder::Add(const item_answer& answer) {
+  const std::string line = ResultLine(job_id_, group_, answer);
+  if (line.size() + 1 > kMaxSegmentBytes) {
+    return Fail(error_kind::too_large,
+                "the result of an item is longer than 900 KB");
+  }
+  if (text_.size() + line.size() + 1 > kMaxSegmentBytes) {
+    return false;
+  }
+  text_ += line;
+  text_ += '\n';
+  return true;
+}
+
+std::string segment_builder::Take() {
+  return std::exchange(text_, std::string());
+}
+
+result<result_lines> ReadSegment(std::string_view text,
+                                 const group_record& record,
+                                 std::size_t segment) {
+  result_lines out;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find('\n'), text.size());
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    const result<json::value> value = internal::ParseJson(line);
+    if (!value || !value->is_object()) {
+      return Fail(error_kind::internal, "a result line is not a JSON object");
+    }
+    const result<std::size_t> index = ItemOf(value->get_object());
+    if (!index) {
+      return Fail(index.error());
+    }
+    if (*index >= record.items.size()) {
+      return Fail(error_kind::internal, "a result line is of no known item");
+    }
+    const group_item& item = record.items[*index];
+    if (item.segment != segment) {
+      continue;
+    }
+    std::string& file =
+        item.state == item_state::completed ? out.output : out.errors;
+    file += line;
+    file += '\n';
+  }
+  return out;
+}
+
+std::string UnwrittenErrors(std::string_view job_id,
+                            std::size_t group,
+                            const group_record& record,
+                            const std::vector<std::string>& custom_ids) {
+  std::string out;
+  for (std::size_t i = 0; i < record.items.size(); ++i) {
+    const group_item& item = record.items[i];
+    if (item.state == item_state::pending || item.segment) {
+      continue;
+    }
+    item_answer answer{.item = i,
+                       .custom_id = custom_ids.at(i),
+                       .request_id = "",
+                       .body = "",
+                       .failure = item.failure.value_or(error_kind::cancelled),
+                       .message = item.message};
+    if (item.state == item_state::cancelled) {
+      answer.message = "the job was cancelled before the item ended";
+    }
+    out += ResultLine(job_id, group, answer) + "\n";
+  }
+  return out;
+}
+
+}  // namespace cardamomyard
