--- a/packages/limits/test/limiter_test.cc
+++ b/packages/limits/test/limiter_test.cc
@@ -9,8 +9,8 @@
 
 using std::chrono::seconds;
 
-const time_point kStart{std::chrono::hours(1)};
-const share_table kOne{1, {"host-0"}};
+constexpr time_point kStart{std::chrono::hours(1)};
+const share_table one_host{1, {"host-0"}};
 
 std::shared_ptr<const limits_snapshot> Limits(double rate, double burst) {
   return std::make_shared<const limits_snapshot>(
@@ -47,7 +47,7 @@
 // Guards against a burst that a restart or a raised limit grants again.
 TEST(LimiterTest, Rule07_RestartsAndIncreasesStartEmpty) {
   account_limiter limiter("host-0");
-  limiter.SetTable(kOne, table_origin::found, kStart);
+  limiter.SetTable(one_host, table_origin::found, kStart);
   limiter.SetContact(time_point::max(), kStart);
   limiter.SetAccounts(1, Limits(1, 10), kStart);
   limiter.ConfirmTable(1, kStart);
@@ -67,7 +67,7 @@
 // Guards against the share of a paused host that others have used meanwhile.
 TEST(LimiterTest, Rule07_ALapseOfContactEmptiesTheBuckets) {
   account_limiter limiter("host-0");
-  limiter.SetTable(kOne, table_origin::created_fresh, kStart);
+  limiter.SetTable(one_host, table_origin::created_fresh, kStart);
   limiter.SetContact(kStart + seconds(5), kStart);
   limiter.SetAccounts(1, Limits(1, 10), kStart);
   EXPECT_EQ(AdmitAll(limiter, kStart), 10);
@@ -80,12 +80,13 @@
 // Guards against tokens that two threads take at the same time.
 TEST(LimiterTest, Rule07_ThreadsShareOneBucket) {
   account_limiter limiter("host-0");
-  limiter.SetTable(kOne, table_origin::created_fresh, kStart);
+  limiter.SetTable(one_host, table_origin::created_fresh, kStart);
   limiter.SetContact(time_point::max(), kStart);
   limiter.SetAccounts(1, Limits(1, 10000), kStart);
   std::atomic<int> count = 0;
   {
     std::vector<std::jthread> threads;
+    threads.reserve(4);
     for (int t = 0; t < 4; ++t) {
       threads.emplace_back([&] { count += AdmitAll(limiter, kStart); });
     }
--- a/packages/membership/test/contact_monitor_test.cc
+++ b/packages/membership/test/contact_monitor_test.cc
@@ -8,8 +8,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const time_point kStart{std::chrono::hours(1)};
-const attestation kUnreachable{std::nullopt, true, false};
+constexpr time_point kStart{std::chrono::hours(1)};
+constexpr attestation kUnreachable{std::nullopt, true, false};
 
 // Guards against a paused process that goes on with evidence from before.
 TEST(ContactMonitorTest, Rule06_ContactLapsesOverAPause) {
--- a/packages/membership/test/view_test.cc
+++ b/packages/membership/test/view_test.cc
@@ -9,7 +9,7 @@
 
 using std::chrono::seconds;
 
-const time_point kStart{std::chrono::hours(1)};
+constexpr time_point kStart{std::chrono::hours(1)};
 
 backend_report Report(std::uint64_t incarnation,
                       std::uint64_t sequence,
