--- a/standins/test/engine_test.cc
+++ b/standins/test/engine_test.cc
@@ -39,6 +39,7 @@
   const host_clock time;
   const time_point started = time.Now();
   std::vector<std::future<result<http_response>>> calls;
+  calls.reserve(32);
   for (int i = 0; i < 32; ++i) {
     calls.push_back(
         Begin("POST", "/v1/completions", R"({"prompt":"p","max_tokens":50})"));
--- a/tools/loadgen/request_maker.cc
+++ b/tools/loadgen/request_maker.cc
@@ -35,18 +35,19 @@
   return prompt;
 }
 
-json::object CompletionBody(const caller_profile& caller, std::string prompt) {
+json::object CompletionBody(const caller_profile& caller,
+                            const std::string& prompt) {
   json::object body;
   body["model"] = caller.model;
   body["max_tokens"] = caller.max_tokens;
   body["stream"] = caller.stream;
   if (caller.path.find("/chat/") == std::string::npos) {
-    body["prompt"] = std::move(prompt);
+    body["prompt"] = prompt;
     return body;
   }
   json::object message;
   message["role"] = "user";
-  message["content"] = std::move(prompt);
+  message["content"] = prompt;
   json::array messages;
   messages.push_back(std::move(message));
   body["messages"] = std::move(messages);
