Follow the configuration in sidecars and pass cancelled jobs on

Cause: batch work needs the configuration and early news of cancels. Conclusion: heartbeat replies carry both; the store read every 10 s covers a sidecar that no entry host reaches.

--- a/packages/node/src/node/entry/entry.h
+++ b/packages/node/src/node/entry/entry.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "src/node/cancelled_jobs.h"
 #include "src/node/config_follower.h"
 #include "src/node/entry/backend_registry.h"
 #include "src/node/entry/caller_server.h"
@@ -42,6 +43,7 @@
   entry_settings settings_;
   std::unique_ptr<process_context> context_;
   config_follower config_;
+  cancelled_jobs cancelled_;
   backend_registry backends_;
   suspect_registry suspects_;
   forwarder forwarder_;
--- a/packages/node/src/node/sidecar/sidecar.cc
+++ b/packages/node/src/node/sidecar/sidecar.cc
@@ -20,6 +20,7 @@
 // A sidecar that was paused for longer may have missed that its host leaves.
 constexpr std::chrono::seconds kMaxRefreshAge{2};
 constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::chrono::seconds kStorePoll{10};
 
 // Values of heartbeat::state.
 enum class reported_state { starting, serving, draining, down };
@@ -40,6 +41,7 @@
                  std::unique_ptr<process_context> context)
     : settings_(std::move(settings)),
       context_(std::move(context)),
+      config_(*context_),
       gate_(AdmissionOptions(settings_), context_->time()),
       monitor_(*context_, settings_, gate_),
       handler_(*context_,
@@ -55,6 +57,9 @@
             OnReply(from, reply);
           }) {
   monitor_.OnDeath([this] { heartbeats_.SendNow(); });
+  config_.OnChange([this](const config_view& view) {
+    gate_.SetBatchWeight(view.content().balance().batch_weight);
+  });
 }
 
 sidecar::~sidecar() {
@@ -78,6 +83,7 @@
     return started;
   }
   asio::co_spawn(context_->control(), Refresh(), asio::detached);
+  asio::co_spawn(context_->control(), FollowStore(), asio::detached);
   asio::co_spawn(context_->control(), monitor_.Run(), asio::detached);
   asio::co_spawn(context_->control(), heartbeats_.Run(), asio::detached);
   kLog.Info("Sidecar started.", {{"id", settings_.common.id},
@@ -158,15 +164,44 @@
     message.store_contact_age =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - *contact);
   }
+  message.generation = static_cast<std::int64_t>(config_.in_force());
+  message.sequence = std::chrono::duration_cast<std::chrono::microseconds>(
+                         now.time_since_epoch())
+                         .count();
   message.suspects = ToMessages(monitor_.Suspects());
   return message;
 }
 
-void sidecar::OnReply(const host_address& /*from*/,
-                      const heartbeat_reply& reply) {
+void sidecar::OnReply(const host_address& from, const heartbeat_reply& reply) {
+  for (const std::string& job : reply.cancelled_jobs) {
+    cancelled_.Add(job, context_->time().Now());
+  }
+  const auto generation = static_cast<std::uint64_t>(reply.generation);
+  if (generation > config_.in_force()) {
+    asio::co_spawn(context_->control(), CatchUp(from, generation),
+                   asio::detached);
+  }
   monitor_.MergeSuspects(FromMessages(reply.suspects));
 }
 
+asio::awaitable<void> sidecar::CatchUp(host_address peer,
+                                       std::uint64_t generation) {
+  auto caught_up = co_await config_.CatchUp(std::move(peer), generation);
+  if (!caught_up) {
+    kLog.Warning("A newer configuration could not be read.",
+                 {{"error", caught_up.error().message()}});
+  }
+}
+
+asio::awaitable<void> sidecar::FollowStore() {
+  while (true) {
+    // Entry hosts pass changes on; this read covers a sidecar that none of
+    // them reaches.
+    co_await config_.ReadStore();
+    co_await SleepFor(kStorePoll);
+  }
+}
+
 void sidecar::BeginDrain(std::string_view reason) {
   if (draining_.exchange(true)) {
     return;
--- a/packages/node/src/node/sidecar/sidecar.h
+++ b/packages/node/src/node/sidecar/sidecar.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <optional>
 
+#include "src/node/cancelled_jobs.h"
+#include "src/node/config_follower.h"
 #include "src/node/internal_server.h"
 #include "src/node/process_context.h"
 #include "src/node/sidecar/admission_gate.h"
@@ -34,10 +36,15 @@
   std::optional<error> Refusal() const;
   heartbeat Describe() const;
   void OnReply(const host_address& from, const heartbeat_reply& reply);
+  boost::asio::awaitable<void> CatchUp(host_address peer,
+                                       std::uint64_t generation);
+  boost::asio::awaitable<void> FollowStore();
   void BeginDrain(std::string_view reason);
 
   sidecar_settings settings_;
   std::unique_ptr<process_context> context_;
+  config_follower config_;
+  cancelled_jobs cancelled_;
   admission_gate gate_;
   backend_monitor monitor_;
   online_handler handler_;
