End the process without destructors after a planned stop

Cause: suspended coroutines hold slots of the gate, and kept connections hold sockets of contexts; both orders of destruction end in use after free. Ruled out: reordering members, since the two needs contradict each other. Conclusion: the process ends with _Exit after draining.

--- a/packages/node/src/node/run.cc
+++ b/packages/node/src/node/run.cc
@@ -3,6 +3,7 @@
 #include <pthread.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <utility>
 
 #include "src/node/entry/entry.h"
@@ -35,7 +36,10 @@
   int signal = 0;
   sigwait(&stop, &signal);
   (*role)->Stop();
-  return {};
+  // Coroutines that are still suspended refer to parts of the role, and kept
+  // connections refer to the threads' contexts: no order of destruction suits
+  // both, so the process ends without it. Logs and spans are flushed already.
+  std::_Exit(0);
 }
 
 struct role_runner {
