--- a/packages/node/src/node/entry/backend_registry.cc
+++ b/packages/node/src/node/entry/backend_registry.cc
@@ -84,6 +84,7 @@
     if (usable->count(deployment) == 0) {
       set = candidate_set::Make({}, set.get());
       RouterOf(deployment).Update(set);
+      CountUsable(deployment, 0);
     }
   }
   for (const auto& [deployment, reports] : *usable) {
@@ -95,9 +96,17 @@
     auto& set = sets_[deployment];
     set = candidate_set::Make(std::move(candidates), set.get());
     RouterOf(deployment).Update(set);
+    CountUsable(deployment, reports.size());
   }
 }
 
+void backend_registry::CountUsable(const std::string& deployment,
+                                   std::size_t count) {
+  context_->metrics()
+      .Gauge("cardamomyard_backends_usable", {{"deployment", deployment}})
+      .Set(static_cast<std::int64_t>(count));
+}
+
 router& backend_registry::RouterOf(const std::string& deployment) {
   const auto found = routers_.find(deployment);
   if (found != routers_.end()) {
--- a/packages/node/src/node/entry/backend_registry.h
+++ b/packages/node/src/node/entry/backend_registry.h
@@ -47,6 +47,7 @@
   };
 
   router& RouterOf(const std::string& deployment);
+  void CountUsable(const std::string& deployment, std::size_t count);
 
   process_context* context_;
   mutable std::mutex mutex_;
