--- a/packages/node/src/node/answer_relay.cc
+++ b/packages/node/src/node/answer_relay.cc
@@ -84,6 +84,9 @@
   if (options.observe) {
     options.observe(*body);
   }
+  if (options.observe_end) {
+    options.observe_end();
+  }
   http_response answer{from.status(), AnswerHeaders(from.headers(), options),
                        std::move(*body)};
   report.started = true;
@@ -151,6 +154,9 @@
     co_await CutStream(to, *report.failure, options.request_id);
     co_return report;
   }
+  if (options.observe_end) {
+    options.observe_end();
+  }
   sent = co_await to.Finish();
   report.complete = sent.has_value();
   if (!sent) {
--- a/packages/node/src/node/answer_relay.h
+++ b/packages/node/src/node/answer_relay.h
@@ -20,6 +20,8 @@
   std::function<std::optional<error>()> check;
   /// Called with every piece before it is sent.
   std::function<void(const std::string&)> observe;
+  /// Called when the whole answer was read, also when sending it fails.
+  std::function<void()> observe_end;
 };
 
 /// \brief What became of a relayed answer.
--- a/packages/node/src/node/cancelled_jobs.h
+++ b/packages/node/src/node/cancelled_jobs.h
@@ -20,18 +20,20 @@
 
   void Add(const std::string& job, time_point now) {
     const std::lock_guard lock(mutex_);
+    DropExpired(now);
     jobs_.emplace(job, now + kKeep);
   }
 
-  bool Contains(const std::string& job) const {
+  bool Contains(const std::string& job, time_point now) const {
     const std::lock_guard lock(mutex_);
-    return jobs_.count(job) > 0;
+    const auto found = jobs_.find(job);
+    return found != jobs_.end() && now < found->second;
   }
 
   /// \returns the ids that have not expired.
   std::vector<std::string> List(time_point now) {
     const std::lock_guard lock(mutex_);
-    std::erase_if(jobs_, [now](const auto& job) { return job.second <= now; });
+    DropExpired(now);
     std::vector<std::string> ids;
     for (const auto& [id, expiry] : jobs_) {
       ids.push_back(id);
@@ -40,6 +42,10 @@
   }
 
  private:
+  void DropExpired(time_point now) {
+    std::erase_if(jobs_, [now](const auto& job) { return job.second <= now; });
+  }
+
   mutable std::mutex mutex_;
   std::map<std::string, time_point> jobs_;
 };
--- a/packages/node/src/node/entry/entry.cc
+++ b/packages/node/src/node/entry/entry.cc
@@ -30,6 +30,9 @@
       backends_(*context_),
       suspects_(*context_),
       forwarder_(*context_, backends_, suspects_),
+      idempotent_(*context_, forwarder_),
+      files_(*context_, config_),
+      batches_(*context_, config_, cancelled_),
       internal_(*context_),
       callers_(*context_, settings_, config_, forwarder_, MakeServices()) {}
 
@@ -53,6 +56,10 @@
   };
   services.refusal = []() -> std::optional<error> { return std::nullopt; };
   services.ready = [this] { return !draining_ && config_.view() != nullptr; };
+  services.run_idempotent = [this](http_exchange& exchange,
+                                   forward_request request, std::string key) {
+    return idempotent_.Run(exchange, std::move(request), std::move(key));
+  };
   return services;
 }
 
@@ -61,6 +68,14 @@
       std::string(internal_api::kHeartbeat),
       [this](const http_request& request) { return OnHeartbeat(request); });
   config_.AddHandlers(internal_);
+  callers_.AddCallerApi(
+      "/v1/files", [this](http_exchange& exchange, caller_request request) {
+        return files_.Handle(exchange, std::move(request));
+      });
+  callers_.AddCallerApi(
+      "/v1/batches", [this](http_exchange& exchange, caller_request request) {
+        return batches_.Handle(exchange, std::move(request));
+      });
   if (result<void> started = internal_.Start(); !started) {
     return started;
   }
--- a/packages/node/src/node/entry/entry.h
+++ b/packages/node/src/node/entry/entry.h
@@ -9,8 +9,11 @@
 #include "src/node/cancelled_jobs.h"
 #include "src/node/config_follower.h"
 #include "src/node/entry/backend_registry.h"
+#include "src/node/entry/batches_api.h"
 #include "src/node/entry/caller_server.h"
+#include "src/node/entry/files_api.h"
 #include "src/node/entry/forwarder.h"
+#include "src/node/entry/idempotency.h"
 #include "src/node/entry/suspect_registry.h"
 #include "src/node/internal_server.h"
 #include "src/node/process_context.h"
@@ -47,6 +50,9 @@
   backend_registry backends_;
   suspect_registry suspects_;
   forwarder forwarder_;
+  idempotent_runner idempotent_;
+  files_api files_;
+  batches_api batches_;
   internal_server internal_;
   caller_server callers_;
   std::atomic<bool> draining_{false};
--- a/packages/node/src/node/entry/forwarder.cc
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -171,6 +171,13 @@
     relay_options relay;
     relay.request_id = request.request_id;
     relay.check = request.check;
+    if (request.capture) {
+      request.capture->Begin((*opened)->status(), (*opened)->headers());
+      relay.observe = [capture = request.capture](const std::string& piece) {
+        capture->Add(piece);
+      };
+      relay.observe_end = [capture = request.capture] { capture->End(); };
+    }
     report.relay = co_await RelayAnswer(**opened, exchange, std::move(relay));
   }
   if (report.relay.failure) {
--- a/packages/node/src/node/entry/forwarder.h
+++ b/packages/node/src/node/entry/forwarder.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <random>
@@ -11,6 +12,7 @@
 
 #include "cardamomyard/routing.h"
 #include "src/node/answer_relay.h"
+#include "src/node/entry/answer_capture.h"
 #include "src/node/entry/backend_registry.h"
 #include "src/node/entry/caller.h"
 #include "src/node/entry/suspect_registry.h"
@@ -34,6 +36,8 @@
   /// Fails when the request must end, for instance because its key was
   /// withdrawn.
   std::function<std::optional<error>()> check;
+  /// Set when the answer is kept. \sa answer_capture
+  std::shared_ptr<answer_capture> capture;
 };
 
 /// \brief Sends requests to sidecars and retries where that is allowed.
--- /dev/null
+++ b/packages/node/src/node/sidecar/batch_parts.h
@@ -0,0 +1,35 @@
+#ifndef CARDAMOMYARD_NODE_SIDECAR_BATCH_PARTS_H_
+#define CARDAMOMYARD_NODE_SIDECAR_BATCH_PARTS_H_
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <optional>
+
+#include "src/node/cancelled_jobs.h"
+#include "src/node/config_follower.h"
+#include "src/node/process_context.h"
+#include "src/node/sidecar/admission_gate.h"
+#include "src/node/sidecar/backend_monitor.h"
+
+namespace cardamomyard {
+
+/// \brief What batch work uses of its sidecar.
+struct batch_parts {
+  process_context* context = nullptr;
+  /// Clients of the worker's thread. They end before it, as they keep
+  /// connections that belong to it.
+  http_client* http = nullptr;
+  store_client* store = nullptr;
+  const sidecar_settings* settings = nullptr;
+  config_follower* config = nullptr;
+  admission_gate* gate = nullptr;
+  backend_monitor* monitor = nullptr;
+  cancelled_jobs* cancelled = nullptr;
+  /// \returns why nothing new may start, or nothing.
+  std::function<std::optional<error>()> refusal;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_NODE_SIDECAR_BATCH_PARTS_H_
--- /dev/null
+++ b/packages/node/src/node/sidecar/batch_worker.h
@@ -0,0 +1,74 @@
+#ifndef CARDAMOMYARD_NODE_SIDECAR_BATCH_WORKER_H_
+#define CARDAMOMYARD_NODE_SIDECAR_BATCH_WORKER_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cardamomyard/batch.h"
+#include "src/node/sidecar/batch_parts.h"
+#include "src/node/sidecar/group_session.h"
+
+namespace cardamomyard {
+
+/// \brief Runs batch items on the backend server while online work leaves
+/// slots free. It has a thread of its own.
+class batch_worker {
+ public:
+  /// \param parts  what it uses; its clients are set by the worker.
+  explicit batch_worker(batch_parts parts);
+  ~batch_worker();
+  batch_worker(const batch_worker&) = delete;
+  batch_worker& operator=(const batch_worker&) = delete;
+
+  void Start();
+  /// Ends the thread; claimed groups stay claimed until their lease ends.
+  void Stop();
+
+  /// \returns whether no group is held.
+  bool idle() const { return held_groups_ == 0; }
+  /// \returns the tokens of committed results.
+  std::int64_t tokens() const { return tokens_; }
+  /// The more sidecars, the less often each one lists the open jobs.
+  void SetFleetSize(std::size_t sidecars) { fleet_ = sidecars; }
+
+ private:
+  boost::asio::awaitable<void> Run();
+  bool MayClaim() const;
+  boost::asio::awaitable<void> ListJobs();
+  boost::asio::awaitable<bool> ClaimNext();
+  boost::asio::awaitable<bool> ClaimFromJob(const open_entry& open);
+  boost::asio::awaitable<bool> ClaimGroup(job_record job,
+                                          file_manifest file,
+                                          std::size_t group);
+  boost::asio::awaitable<void> Sweep(job_record job);
+  boost::asio::awaitable<void> RunSession(
+      std::shared_ptr<group_session> session);
+  boost::asio::awaitable<result<file_manifest>> Manifest(std::string file_id);
+  void Forget(const std::string& job_id);
+  bool HeldByOther(const std::string& key) const;
+
+  batch_parts parts_;
+  thread_pool pool_{1};
+  std::unique_ptr<http_client> http_;
+  std::unique_ptr<store_client> store_;
+  std::string holder_;
+  job_picker picker_;
+  std::map<std::string, open_entry> open_;        // By job id.
+  std::map<std::string, wall_time> held_until_;   // By group key.
+  std::map<std::string, time_point> cancelling_;  // When first seen.
+  std::map<std::string, file_manifest> manifests_;
+  std::vector<std::shared_ptr<group_session>> sessions_;
+  time_point next_listing_;
+  std::atomic<std::size_t> fleet_{1};
+  std::atomic<int> held_groups_{0};
+  std::atomic<std::int64_t> tokens_{0};
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_NODE_SIDECAR_BATCH_WORKER_H_
--- a/packages/node/src/node/sidecar/sidecar.cc
+++ b/packages/node/src/node/sidecar/sidecar.cc
@@ -56,6 +56,17 @@
           [this](const host_address& from, const heartbeat_reply& reply) {
             OnReply(from, reply);
           }) {
+  if (settings_.run_batch) {
+    batch_parts parts;
+    parts.context = context_.get();
+    parts.settings = &settings_;
+    parts.config = &config_;
+    parts.gate = &gate_;
+    parts.monitor = &monitor_;
+    parts.cancelled = &cancelled_;
+    parts.refusal = [this] { return Refusal(); };
+    batch_ = std::make_unique<batch_worker>(std::move(parts));
+  }
   monitor_.OnDeath([this] { heartbeats_.SendNow(); });
   config_.OnChange([this](const config_view& view) {
     gate_.SetBatchWeight(view.content().balance().batch_weight);
@@ -63,6 +74,9 @@
 }
 
 sidecar::~sidecar() {
+  if (batch_) {
+    batch_->Stop();
+  }
   context_->StopThreads();
 }
 
@@ -86,6 +100,9 @@
   asio::co_spawn(context_->control(), FollowStore(), asio::detached);
   asio::co_spawn(context_->control(), monitor_.Run(), asio::detached);
   asio::co_spawn(context_->control(), heartbeats_.Run(), asio::detached);
+  if (batch_) {
+    batch_->Start();
+  }
   kLog.Info("Sidecar started.", {{"id", settings_.common.id},
                                  {"address", context_->advertised().ToString()},
                                  {"deployment", settings_.deployment}});
@@ -100,7 +117,8 @@
       .wait();
   const time_point deadline =
       context_->time().Now() + settings_.common.drain_timeout;
-  while ((server_.server().active_requests() > 0 || !gate_.Report().drained) &&
+  while ((server_.server().active_requests() > 0 || !gate_.Report().drained ||
+          (batch_ && !batch_->idle())) &&
          context_->time().Now() < deadline) {
     std::this_thread::sleep_for(kDrainPoll);
   }
@@ -113,6 +131,9 @@
   while (true) {
     auto hosts = co_await ReadHostList(*context_);
     if (hosts) {
+      if (batch_) {
+        batch_->SetFleetSize(hosts->size());
+      }
       for (const listed_host& host : *hosts) {
         if (host.id == settings_.common.id && host.leaving) {
           BeginDrain("The host list says that this host is leaving.");
@@ -158,6 +179,7 @@
   message.queue_length = report.queue_length;
   message.running = report.online_running;
   message.batch_running = report.batch_running;
+  message.batch_tokens = batch_ ? batch_->tokens() : 0;
   message.step_time = std::chrono::duration_cast<std::chrono::microseconds>(
       monitor_.step_time());
   if (const auto contact = context_->store().last_contact()) {
--- a/packages/node/src/node/sidecar/sidecar.h
+++ b/packages/node/src/node/sidecar/sidecar.h
@@ -12,6 +12,7 @@
 #include "src/node/process_context.h"
 #include "src/node/sidecar/admission_gate.h"
 #include "src/node/sidecar/backend_monitor.h"
+#include "src/node/sidecar/batch_worker.h"
 #include "src/node/sidecar/heartbeat_sender.h"
 #include "src/node/sidecar/online_handler.h"
 
@@ -50,6 +51,7 @@
   online_handler handler_;
   internal_server server_;
   heartbeat_sender heartbeats_;
+  std::unique_ptr<batch_worker> batch_;  // Null without batch work.
   std::atomic<bool> draining_{false};
   std::atomic<duration::rep> refreshed_{0};
 };
