--- a/packages/node/src/node/cancelled_jobs.h
+++ b/packages/node/src/node/cancelled_jobs.h
@@ -14,40 +14,41 @@
 /// them on. Items of these jobs do not start. Safe from any thread.
 class cancelled_jobs {
  public:
-  /// An id is kept for longer than any sidecar keeps a claim without reading
-  /// the job's record.
-  static constexpr std::chrono::minutes kKeep{10};
+  /// An id is passed on for longer than any sidecar keeps a claim without
+  /// reading the job's record.
+  static constexpr std::chrono::minutes kPassOn{10};
+  /// An id is remembered for longer than it is passed on. Otherwise two hosts
+  /// that drop it at different times would teach it to each other for ever.
+  static constexpr std::chrono::minutes kRemember{20};
 
   void Add(const std::string& job, time_point now) {
     const std::lock_guard lock(mutex_);
-    DropExpired(now);
-    jobs_.emplace(job, now + kKeep);
+    std::erase_if(jobs_, [now](const auto& known) {
+      return now - known.second >= kRemember;
+    });
+    jobs_.emplace(job, now);
   }
 
-  bool Contains(const std::string& job, time_point now) const {
+  bool Contains(const std::string& job) const {
     const std::lock_guard lock(mutex_);
-    const auto found = jobs_.find(job);
-    return found != jobs_.end() && now < found->second;
+    return jobs_.count(job) > 0;
   }
 
-  /// \returns the ids that have not expired.
-  std::vector<std::string> List(time_point now) {
+  /// \returns the ids to pass on.
+  std::vector<std::string> List(time_point now) const {
     const std::lock_guard lock(mutex_);
-    DropExpired(now);
     std::vector<std::string> ids;
-    for (const auto& [id, expiry] : jobs_) {
-      ids.push_back(id);
+    for (const auto& [id, learnt] : jobs_) {
+      if (now - learnt < kPassOn) {
+        ids.push_back(id);
+      }
     }
     return ids;
   }
 
  private:
-  void DropExpired(time_point now) {
-    std::erase_if(jobs_, [now](const auto& job) { return job.second <= now; });
-  }
-
   mutable std::mutex mutex_;
-  std::map<std::string, time_point> jobs_;
+  std::map<std::string, time_point> jobs_;  // With the time of learning.
 };
 
 }  // namespace cardamomyard
--- a/packages/node/src/node/entry/entry.h
+++ b/packages/node/src/node/entry/entry.h
@@ -14,6 +14,7 @@
 #include "src/node/entry/files_api.h"
 #include "src/node/entry/forwarder.h"
 #include "src/node/entry/idempotency.h"
+#include "src/node/entry/peer_exchange.h"
 #include "src/node/entry/suspect_registry.h"
 #include "src/node/internal_server.h"
 #include "src/node/process_context.h"
@@ -38,8 +39,6 @@
   caller_services MakeServices();
   boost::asio::awaitable<http_response> OnHeartbeat(
       const http_request& request);
-  boost::asio::awaitable<void> FollowConfig();
-  boost::asio::awaitable<void> WatchConfig();
   boost::asio::awaitable<void> FollowHostList();
   boost::asio::awaitable<void> RefreshBackends();
 
@@ -49,6 +48,7 @@
   cancelled_jobs cancelled_;
   backend_registry backends_;
   suspect_registry suspects_;
+  peer_exchange peers_;
   forwarder forwarder_;
   idempotent_runner idempotent_;
   files_api files_;
