--- a/packages/node/src/node/sidecar/group_session.cc
+++ b/packages/node/src/node/sidecar/group_session.cc
@@ -103,8 +103,7 @@
 
 bool group_session::Cancelled() const {
   return parts_->cancelled->Contains(
-      batch_keys::Cancelled(job_.account, job_.id),
-      parts_->context->time().Now());
+      batch_keys::Cancelled(job_.account, job_.id));
 }
 
 bool group_session::Draining() {
