--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -25,18 +25,19 @@
 };
 
 struct fleet_options {
+  // Initializers let designated initializers leave members out.
   int entry_hosts = 2;
-  std::vector<backend_group> groups;
+  std::vector<backend_group> groups{};
   /// Text of one configuration file; \sa DefaultConfiguration. "none" writes no
   /// configuration, so that a test does it, and doesn't wait for readiness.
-  std::string configuration;
+  std::string configuration{};
   /// Zones given to the processes in turn.
   std::vector<std::string> zones{"zone-a", "zone-b", "zone-c"};
-  std::vector<std::string> store_flags;
-  std::vector<std::string> entry_flags;
+  std::vector<std::string> store_flags{};
+  std::vector<std::string> entry_flags{};
   /// Puts relays on every link of this entry host, so that \sa CutOff can
   /// separate it alone.
-  std::optional<std::size_t> separable_entry;
+  std::optional<std::size_t> separable_entry{};
   bool weight_store = false;
 };
 
