--- a/apps/cardamomctl/command.cc
+++ b/apps/cardamomctl/command.cc
@@ -36,9 +36,7 @@
       "limit", "most batch jobs of one page", text())(
       "start-after", "last batch job of the previous page", text())(
       "interval-ms", "time between two looks at the folder", text())(
-      "help", "print help, also for one verb")("version", "print the version")(
-      "words", "", cxxopts::value<std::vector<std::string>>());
-  options.parse_positional({"words"});
+      "help", "print help, also for one verb")("version", "print the version");
   return options;
 }
 
@@ -174,13 +172,10 @@
     call.out = &out;
     call.err = &err;
     for (const auto& pair : parsed.arguments()) {
-      if (pair.key() != "words") {
-        call.flags[pair.key()] = pair.value();
-      }
-    }
-    if (parsed.count("words") > 0) {
-      call.arguments = parsed["words"].as<std::vector<std::string>>();
+      call.flags[pair.key()] = pair.value();
     }
+    // A positional list option would split JSON arguments at their commas.
+    call.arguments = parsed.unmatched();
     if (parsed.count("version") > 0) {
       out << "cardamomctl " << kVersion << "\n";
       return ok;
--- a/apps/cardamomctl/server_call.cc
+++ b/apps/cardamomctl/server_call.cc
@@ -1,6 +1,7 @@
 #include "cardamomctl/server_call.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace cardamomyard::ctl {
 namespace json = boost::json;
@@ -51,6 +52,31 @@
   return ok;
 }
 
+namespace {
+
+/// \returns \p value for people: plain decimals, and objects as key=value.
+std::string ToText(const json::value& value) {
+  if (value.is_string()) {
+    return std::string(value.get_string());
+  }
+  if (value.is_double()) {
+    std::ostringstream text;
+    text << value.get_double();
+    return text.str();
+  }
+  if (const json::object* object = value.if_object()) {
+    std::string text;
+    for (const auto& member : *object) {
+      text += (text.empty() ? "" : " ") + std::string(member.key()) + "=" +
+              ToText(member.value());
+    }
+    return text;
+  }
+  return json::serialize(value);
+}
+
+}  // namespace
+
 std::string Field(const json::value& from, const char* name) {
   const json::object* object = from.if_object();
   const json::value* value =
@@ -58,8 +84,7 @@
   if (value == nullptr || value->is_null()) {
     return "";
   }
-  return value->is_string() ? std::string(value->get_string())
-                            : json::serialize(*value);
+  return ToText(*value);
 }
 
 void PrintTable(const json::value& list,
--- a/apps/cardamomctl/test/command_test.cc
+++ b/apps/cardamomctl/test/command_test.cc
@@ -15,7 +15,7 @@
   std::string err;
 };
 
-run_result Run(std::vector<const char*> arguments) {
+run_result RunTool(std::vector<const char*> arguments) {
   arguments.insert(arguments.begin(), "cardamomctl");
   std::ostringstream out;
   std::ostringstream err;
@@ -46,7 +46,7 @@
 
 TEST_F(folder_test, check_accepts_a_valid_folder) {
   Write("a.toml", kAccount);
-  const run_result run = Run({"config", "check", folder_.c_str()});
+  const run_result run = RunTool({"config", "check", folder_.c_str()});
   EXPECT_EQ(run.code, ok);
   EXPECT_EQ(run.err, "");
 }
@@ -55,7 +55,7 @@
 TEST_F(folder_test, check_names_file_line_and_key) {
   Write("a.toml", kAccount);
   Write("b.toml", "[account.acme]\nburst = 0\n");
-  const run_result run = Run({"config", "check", folder_.c_str()});
+  const run_result run = RunTool({"config", "check", folder_.c_str()});
   EXPECT_EQ(run.code, refused);
   EXPECT_EQ(run.err.rfind("b.toml:2: account.acme.burst: ", 0), 0U) << run.err;
   EXPECT_EQ(run.out, "");
@@ -63,28 +63,37 @@
 
 // Guards against a mistyped path that removes every entity.
 TEST_F(folder_test, check_refuses_a_folder_without_files) {
-  EXPECT_EQ(Run({"config", "check", folder_.c_str()}).code, usage);
-  EXPECT_EQ(Run({"config", "check", "/nonexistent"}).code, usage);
+  EXPECT_EQ(RunTool({"config", "check", folder_.c_str()}).code, usage);
+  EXPECT_EQ(RunTool({"config", "check", "/nonexistent"}).code, usage);
 }
 
 TEST(command, wrong_usage_is_told_apart) {
-  EXPECT_EQ(Run({}).code, usage);
-  EXPECT_EQ(Run({"config", "melt"}).code, usage);
-  EXPECT_EQ(Run({"config", "check"}).code, usage);
-  EXPECT_EQ(Run({"--no-such-flag", "status"}).code, usage);
-  EXPECT_EQ(Run({"--server", "localhost", "status"}).code, usage);
+  EXPECT_EQ(RunTool({}).code, usage);
+  EXPECT_EQ(RunTool({"config", "melt"}).code, usage);
+  EXPECT_EQ(RunTool({"config", "check"}).code, usage);
+  EXPECT_EQ(RunTool({"--no-such-flag", "status"}).code, usage);
+  EXPECT_EQ(RunTool({"--server", "localhost", "status"}).code, usage);
 }
 
 TEST(command, help_of_a_verb_and_version) {
-  EXPECT_NE(Run({"--help", "keys", "create"}).out.find("ID ACCOUNT"),
+  EXPECT_NE(RunTool({"--help", "keys", "create"}).out.find("ID ACCOUNT"),
             std::string::npos);
-  EXPECT_EQ(Run({"--version"}).out, "cardamomctl 0.1.0\n");
+  EXPECT_EQ(RunTool({"--version"}).out, "cardamomctl 0.1.0\n");
+}
+
+// Guards against JSON arguments that are split at their commas.
+TEST(command, json_is_one_argument) {
+  setenv("CARDAMOMYARD_ADMIN_TOKEN", "0123456789abcdef", 1);
+  EXPECT_EQ(RunTool({"--server", "127.0.0.1:1", "accounts", "put", "acme",
+                     R"({"rate_per_second":5.0,"burst":10})"})
+                .code,
+            unreachable);
 }
 
 TEST(command, unreachable_servers_have_their_own_code) {
   setenv("CARDAMOMYARD_ADMIN_TOKEN", "0123456789abcdef", 1);
   // Port 1 on the loopback address refuses connections.
-  EXPECT_EQ(Run({"--server", "127.0.0.1:1,127.0.0.1:1", "status"}).code,
+  EXPECT_EQ(RunTool({"--server", "127.0.0.1:1,127.0.0.1:1", "status"}).code,
             unreachable);
 }
 
--- a/packages/node/src/node/entry/admin_fleet.cc
+++ b/packages/node/src/node/entry/admin_fleet.cc
@@ -1,5 +1,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/packages/node/src/node/entry/admin_json.cc
+++ b/packages/node/src/node/entry/admin_json.cc
@@ -34,7 +34,7 @@
 }
 
 json::array JsonLines(const std::vector<std::string>& lines) {
-  return {lines.begin(), lines.end()};
+  return json::array(lines.begin(), lines.end());
 }
 
 std::int64_t UnixMs(wall_time at) {
--- a/packages/node/test/config_writer_test.cc
+++ b/packages/node/test/config_writer_test.cc
@@ -22,9 +22,9 @@
 config_change Folder(const std::string& author,
                      std::uint64_t expected,
                      double rate) {
-  const std::string text = "[account.acme]\nrate_per_second = " +
-                           std::to_string(rate) +
-                           "\nburst = 40\nweight = 1.0\nmodels = []\n";
+  const std::string text =
+      "[account.acme]\nrate_per_second = " + std::to_string(rate) +
+      "\nburst = 40\nweight = 1.0\nmodels = []\n";
   const configuration folder = *ParseFolder({{"a.toml", text}});
   return {author, "folder of " + author,
           [folder](const configuration& current) {
@@ -55,10 +55,9 @@
         auto http = std::move(*http_client::Create());
         auto store = store_client::Create({.address = host_->address()}, *http,
                                           time_, metrics_);
-        config_writer writer(*store, time_, [] { return nullptr; },
-                             []() -> boost::asio::awaitable<void> {
-                               co_return;
-                             });
+        config_writer writer(
+            *store, time_, [] { return nullptr; },
+            []() -> boost::asio::awaitable<void> { co_return; });
         auto first = boost::asio::co_spawn(other.At(0), writer.Write(winner),
                                            boost::asio::use_future)
                          .get();
@@ -108,8 +107,8 @@
 TEST_F(config_writer_test, Rule13_ALostRaceOnOneEntityIsRetried) {
   auto writer = Writer();
   ASSERT_TRUE(Await(writer.Write(PutAccount("ana", "first", 1))));
-  const auto written = Await(writer.Write(Racing(
-      PutAccount("ana", "acme", 20), PutAccount("boris", "beta", 5))));
+  const auto written = Await(writer.Write(
+      Racing(PutAccount("ana", "acme", 20), PutAccount("boris", "beta", 5))));
   ASSERT_TRUE(written) << written.error().message();
   EXPECT_EQ(written->generation, 3U);
   const configuration stored = Stored();
@@ -173,7 +172,8 @@
   auto boris = Writer();
   for (int i = 0; i < 10; ++i) {
     auto a = Begin(ana.Write(PutAccount("ana", "a" + std::to_string(i), 1)));
-    auto b = Begin(boris.Write(PutAccount("boris", "b" + std::to_string(i), 1)));
+    auto b =
+        Begin(boris.Write(PutAccount("boris", "b" + std::to_string(i), 1)));
     EXPECT_TRUE(a.get());
     EXPECT_TRUE(b.get());
   }
--- a/packages/node/test/store_fixture.h
+++ b/packages/node/test/store_fixture.h
@@ -24,10 +24,9 @@
     ASSERT_TRUE(host) << host.error().message();
     host_ = std::move(*host);
     http_ = std::move(*http_client::Create());
-    store_ = store_client::Create(
-        {.address = host_->address(),
-         .timeout = std::chrono::milliseconds(300)},
-        *http_, time_, metrics_);
+    store_ = store_client::Create({.address = host_->address(),
+                                   .timeout = std::chrono::milliseconds(300)},
+                                  *http_, time_, metrics_);
   }
 
   template <class T>
--- a/packages/node/test/usage_ledger_test.cc
+++ b/packages/node/test/usage_ledger_test.cc
@@ -13,8 +13,9 @@
     auto keys = Await(store_->ListAll(usage_ledger::Prefix(day, account)));
     EXPECT_TRUE(keys);
     for (const auto& entry : *keys) {
-      for (const auto& [subject, sums] :
-           *usage_ledger::Decode((*Await(store_->Get(entry.key)))->value)) {
+      const auto stored = Await(store_->Get(entry.key));
+      const auto rows = usage_ledger::Decode((*stored)->value);
+      for (const auto& [subject, sums] : *rows) {
         total[subject] += sums;
       }
     }
@@ -61,8 +62,8 @@
   whole.Observe(R"({"choices":[],)" + usage + "}");
   EXPECT_EQ(whole.tokens(), (token_usage{7, 9}));
   usage_meter stream;
-  const std::string text = "data: {\"choices\":[]}\n\ndata: {" + usage +
-                           "}\n\ndata: [DONE]\n\n";
+  const std::string text =
+      "data: {\"choices\":[]}\n\ndata: {" + usage + "}\n\ndata: [DONE]\n\n";
   for (const char c : text) {
     stream.Observe(std::string(1, c));
   }
