--- a/packages/node/src/node/entry/forwarder.cc
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -171,10 +171,15 @@
     relay_options relay;
     relay.request_id = request.request_id;
     relay.check = request.check;
+    relay.observe = request.observe;
     if (request.capture) {
       request.capture->Begin((*opened)->status(), (*opened)->headers());
-      relay.observe = [capture = request.capture](const std::string& piece) {
+      relay.observe = [capture = request.capture,
+                       observe = request.observe](const std::string& piece) {
         capture->Add(piece);
+        if (observe) {
+          observe(piece);
+        }
       };
       relay.observe_end = [capture = request.capture] { capture->End(); };
     }
--- a/packages/node/src/node/entry/forwarder.h
+++ b/packages/node/src/node/entry/forwarder.h
@@ -38,6 +38,8 @@
   std::function<std::optional<error>()> check;
   /// Set when the answer is kept. \sa answer_capture
   std::shared_ptr<answer_capture> capture;
+  /// Called with every piece of the answer before it is sent.
+  std::function<void(const std::string&)> observe;
 };
 
 /// \brief Sends requests to sidecars and retries where that is allowed.
