--- a/packages/node/src/node/sidecar/answer_collector.cc
+++ b/packages/node/src/node/sidecar/answer_collector.cc
@@ -65,6 +65,7 @@
 void answer_collector::BeginStream() {
   tokens_before_ = tokens_;
   stream_tokens_ = 0;
+  stream_id_.clear();
 }
 
 bool answer_collector::Feed(std::string_view event) {
@@ -76,6 +77,7 @@
   }
   if (const std::string_view id = Text(Member(&parsed, "id")); !id.empty()) {
     id_ = id;
+    stream_id_ = id;
   }
   model_ = Text(Member(&parsed, "model"));
   if (const json::value* usage = Member(&parsed, "usage");
--- a/packages/node/src/node/sidecar/answer_collector.h
+++ b/packages/node/src/node/sidecar/answer_collector.h
@@ -32,14 +32,16 @@
   /// \returns whether every token has arrived.
   bool complete() const { return !finish_reason_.empty(); }
   std::uint64_t tokens() const { return tokens_; }
-  /// \returns the engine's id of the stream, empty before its first event.
-  const std::string& id() const { return id_; }
+  /// \returns the engine's id of the present stream, empty before its first
+  /// event.
+  const std::string& stream_id() const { return stream_id_; }
   /// \returns the answer as if it had come in one piece.
   std::string Whole() const;
   token_usage Usage() const;
 
  private:
-  std::string id_;
+  std::string id_;  // Of the last stream that sent something.
+  std::string stream_id_;
   std::string model_;
   std::string text_;
   std::string finish_reason_;
--- a/packages/node/src/node/sidecar/item_runner.cc
+++ b/packages/node/src/node/sidecar/item_runner.cc
@@ -32,11 +32,13 @@
   if (run->call == nullptr) {
     return;  // Call() looks at the flag when the answer begins.
   }
-  if (run->stream && !run->progress.id().empty()) {
-    asio::co_spawn(executor_, CancelOnEngine(run), asio::detached);
-  } else {
+  if (!run->stream) {
     run->call->Cancel();
+  } else if (!run->progress.stream_id().empty()) {
+    asio::co_spawn(executor_, CancelOnEngine(run), asio::detached);
   }
+  // Otherwise ReadStream() cancels after the first event, which names the
+  // stream and whose token would be generated twice.
 }
 
 asio::awaitable<void> item_runner::CancelOnEngine(
@@ -47,7 +49,8 @@
   request.method = "POST";
   request.target = "/v1/cancel";
   request.headers.Set("Content-Type", "application/json");
-  request.body = json::serialize(json::object{{"id", run->progress.id()}});
+  request.body =
+      json::serialize(json::object{{"id", run->progress.stream_id()}});
   call_options options;
   options.connect_timeout = kCancelTimeout;
   options.head_timeout = kCancelTimeout;
@@ -118,15 +121,16 @@
     co_return ended;
   }
   http_call& call = **opened;
-  if (run->stop) {
-    ended.stopped = true;  // Destroying the call cancels it on the engine.
-    co_return ended;
-  }
   run->call = &call;
   const bool streamed = call.headers()
                             .Get("Content-Type")
                             .value_or("")
                             .starts_with("text/event-stream");
+  if (run->stop && !streamed) {
+    run->call = nullptr;
+    ended.stopped = true;  // Destroying the call cancels it on the engine.
+    co_return ended;
+  }
   if (streamed) {
     ended.report.failure = co_await ReadStream(run, call);
     ended.body = run->progress.Whole();
@@ -161,6 +165,7 @@
       }
       co_return piece.error();
     }
+    const bool named = !run->progress.stream_id().empty();
     for (const std::string& event : scanner.Feed(*piece)) {
       if (!run->progress.Feed(event)) {
         co_return error::Make(error_kind::backend_failed,
@@ -170,6 +175,9 @@
     if (piece->empty()) {
       break;
     }
+    if (!named && run->stop && !run->progress.stream_id().empty()) {
+      asio::co_spawn(executor_, CancelOnEngine(run), asio::detached);
+    }
   }
   if (!scanner.done()) {
     co_return error::Make(error_kind::backend_failed,
