Add the operators' API, the usage ledger and cardamomctl

Cause: operators could not change the configuration, create or withdraw keys, or read what an account used.

config_writer writes generations by conditional update of config/head. An edit of one entity is repeated on the new head up to 5 times; a folder with an expected generation gets a conflict that names the winner. A change that is found in force after a lost race is a success, since the own write may have taken effect before another one followed. Unchanged shards go into the next head by name, so a change writes one or two blobs and the head.

One object for each account and host was ruled out: at 15,000 requests/s nearly each request has its own (account, host) pair within 30 s.

Not run: a fleet of several processes.

--- a/packages/node/src/node/entry/backend_registry.cc
+++ b/packages/node/src/node/entry/backend_registry.cc
@@ -137,6 +137,15 @@
   return *view_.Usable(context_->time().Now());
 }
 
+std::vector<backend_registry::heard_heartbeat> backend_registry::Heard() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<heard_heartbeat> all;
+  for (const auto& [id, heard] : last_) {
+    all.push_back(heard);
+  }
+  return all;
+}
+
 std::vector<heartbeat> backend_registry::Heartbeats() const {
   const std::lock_guard lock(mutex_);
   std::vector<heartbeat> all;
--- a/packages/node/src/node/entry/backend_registry.h
+++ b/packages/node/src/node/entry/backend_registry.h
@@ -39,13 +39,15 @@
   backend_snapshot Usable() const;
   /// \returns the last heartbeat of every server heard, usable or not.
   std::vector<heartbeat> Heartbeats() const;
-
- private:
+  /// A heartbeat and when it arrived.
   struct heard_heartbeat {
     heartbeat message;
     time_point at;
   };
+  /// \returns the same as Heartbeats(), with the time of each.
+  std::vector<heard_heartbeat> Heard() const;
 
+ private:
   router& RouterOf(const std::string& deployment);
 
   process_context* context_;
--- a/packages/node/src/node/entry/caller_server.cc
+++ b/packages/node/src/node/entry/caller_server.cc
@@ -272,19 +272,53 @@
         error_kind::forbidden,
         "the client account may not use the model \"" + parsed->model + "\"");
   }
-  result<void> token = co_await services_.take_token(request.account);
-  if (!token) {
-    co_return token.error();
-  }
   forward_request forwarded = MakeForward(request, std::move(*body));
   forwarded.target = request.target.path;
   forwarded.deployment = parsed->model;
   forwarded.repeatable = true;
   forwarded.timeout = kInferenceTimeout;
   forwarded.prefix_hash = PromptPrefixHash(parsed->prompt);
+  usage_subject subject{request.account, request.key_id,
+                        "model/" + parsed->model};
+  co_return co_await RunCounted(exchange, request.account, std::nullopt,
+                                std::move(subject), std::move(forwarded));
+}
+
+asio::awaitable<std::optional<error>> caller_server::Run(
+    http_exchange& exchange,
+    std::string limited,
+    std::optional<std::string> idempotency_key,
+    forward_request forwarded) {
+  result<void> token = co_await services_.take_token(std::move(limited));
+  if (!token) {
+    co_return token.error();
+  }
+  if (idempotency_key && services_.run_idempotent) {
+    co_return co_await services_.run_idempotent(exchange, std::move(forwarded),
+                                                std::move(*idempotency_key));
+  }
   co_return co_await forwarder_->Forward(exchange, std::move(forwarded));
 }
 
+asio::awaitable<std::optional<error>> caller_server::RunCounted(
+    http_exchange& exchange,
+    std::string limited,
+    std::optional<std::string> idempotency_key,
+    usage_subject subject,
+    forward_request forwarded) {
+  usage_meter meter;
+  forwarded.observe = [&meter](const std::string& piece) {
+    meter.Observe(piece);
+  };
+  std::optional<error> failure =
+      co_await Run(exchange, std::move(limited), std::move(idempotency_key),
+                   std::move(forwarded));
+  if (services_.record_usage) {
+    services_.record_usage(subject, failure, meter.tokens());
+  }
+  co_return failure;
+}
+
 asio::awaitable<std::optional<error>> caller_server::ServeRoute(
     http_exchange& exchange,
     caller_request& request,
@@ -300,24 +334,21 @@
   if (!body) {
     co_return body.error();
   }
-  const std::string limited =
-      route.open ? "route/" + route.name : request.account;
-  result<void> token = co_await services_.take_token(limited);
-  if (!token) {
-    co_return token.error();
-  }
+  std::string limited = route.open ? "route/" + route.name : request.account;
   const configuration& content = request.view->content();
   forward_request forwarded = MakeForward(request, std::move(*body));
   forwarded.deployment = route.service;
   forwarded.repeatable = route.repeatable;
   forwarded.timeout = content.FindService(route.service)->timeout;
   forwarded.prefix_hash = Hash64(request.request_id);
-  const auto idempotency_key = request.head.headers.Get("Idempotency-Key");
-  if (!route.repeatable && idempotency_key && services_.run_idempotent) {
-    co_return co_await services_.run_idempotent(exchange, std::move(forwarded),
-                                                *idempotency_key);
+  std::optional<std::string> idempotency_key;
+  if (!route.repeatable) {
+    idempotency_key = request.head.headers.Get("Idempotency-Key");
   }
-  co_return co_await forwarder_->Forward(exchange, std::move(forwarded));
+  usage_subject subject{request.account, request.key_id, "route/" + route.name};
+  co_return co_await RunCounted(exchange, std::move(limited),
+                                std::move(idempotency_key), std::move(subject),
+                                std::move(forwarded));
 }
 
 }  // namespace cardamomyard
--- a/packages/node/src/node/entry/caller_server.h
+++ b/packages/node/src/node/entry/caller_server.h
@@ -11,6 +11,7 @@
 #include "src/node/config_follower.h"
 #include "src/node/entry/caller.h"
 #include "src/node/entry/forwarder.h"
+#include "src/node/entry/usage_ledger.h"
 #include "src/node/process_context.h"
 
 namespace cardamomyard {
@@ -33,6 +34,11 @@
   std::function<boost::asio::awaitable<std::optional<
       error>>(http_exchange&, forward_request, std::string idempotency_key)>
       run_idempotent;
+  /// Counts a request that passed its checks, for invoices.
+  std::function<void(const usage_subject&,
+                     const std::optional<error>&,
+                     const token_usage&)>
+      record_usage;
 };
 
 /// \brief The server for callers and operators.
@@ -72,6 +78,19 @@
       http_exchange& exchange,
       caller_request& request,
       const route_config& route);
+  /// Takes a token of \p limited and forwards the request.
+  boost::asio::awaitable<std::optional<error>> Run(
+      http_exchange& exchange,
+      std::string limited,
+      std::optional<std::string> idempotency_key,
+      forward_request forwarded);
+  /// Does the same and counts how the request ended.
+  boost::asio::awaitable<std::optional<error>> RunCounted(
+      http_exchange& exchange,
+      std::string limited,
+      std::optional<std::string> idempotency_key,
+      usage_subject subject,
+      forward_request forwarded);
   boost::asio::awaitable<bool> ServeProbe(http_exchange& exchange);
   result<void> CheckCaller(caller_request& request, bool require_key) const;
   std::function<std::optional<error>()> StreamCheck(
--- a/packages/node/src/node/entry/entry.cc
+++ b/packages/node/src/node/entry/entry.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <thread>
 #include <utility>
 
@@ -20,6 +22,7 @@
 constexpr std::chrono::milliseconds kHostListPoll{1000};
 constexpr std::chrono::milliseconds kBackendRefresh{100};
 constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::chrono::seconds kLastFlush{10};
 
 }  // namespace
 
@@ -31,7 +34,20 @@
       suspects_(*context_),
       forwarder_(*context_, backends_, suspects_),
       internal_(*context_),
-      callers_(*context_, settings_, config_, forwarder_, MakeServices()) {}
+      config_writer_(
+          context_->store(),
+          context_->time(),
+          [this] {
+            const auto view = config_.view();
+            return view ? view->snapshot : nullptr;
+          },
+          [this] { return ApplyWrittenConfig(); }),
+      usage_(
+          context_->store(),
+          context_->time(),
+          settings_.common.id + "-" + std::to_string(context_->incarnation())),
+      callers_(*context_, settings_, config_, forwarder_, MakeServices()),
+      admin_(MakeAdminServices()) {}
 
 entry::~entry() {
   context_->StopThreads();
@@ -53,10 +69,28 @@
   };
   services.refusal = []() -> std::optional<error> { return std::nullopt; };
   services.ready = [this] { return !draining_ && config_.view() != nullptr; };
+  services.record_usage = [this](const usage_subject& subject,
+                                 const std::optional<error>& failure,
+                                 const token_usage& tokens) {
+    usage_.Record(subject, failure, tokens);
+  };
+  return services;
+}
+
+admin_services entry::MakeAdminServices() {
+  admin_services services;
+  services.context = context_.get();
+  services.config = &config_;
+  services.writer = &config_writer_;
+  services.backends = &backends_;
+  services.token = settings_.admin_token;
   return services;
 }
 
 result<void> entry::Start() {
+  callers_.SetAdminApi([this](http_exchange& exchange, caller_request request) {
+    return admin_.Serve(exchange, std::move(request));
+  });
   internal_.AddControl(
       std::string(internal_api::kHeartbeat),
       [this](const http_request& request) { return OnHeartbeat(request); });
@@ -71,6 +105,7 @@
   asio::co_spawn(context_->control(), WatchConfig(), asio::detached);
   asio::co_spawn(context_->control(), FollowHostList(), asio::detached);
   asio::co_spawn(context_->control(), RefreshBackends(), asio::detached);
+  asio::co_spawn(context_->control(), FlushUsage(), asio::detached);
   kLog.Info("Entry host started.",
             {{"id", settings_.common.id},
              {"callers", callers_.server().address().ToString()},
@@ -95,6 +130,11 @@
          context_->time().Now() < deadline) {
     std::this_thread::sleep_for(kDrainPoll);
   }
+  auto flushed =
+      asio::co_spawn(context_->control(), usage_.Flush(), asio::use_future);
+  if (flushed.wait_for(kLastFlush) != std::future_status::ready) {
+    kLog.Error("The last usage sums may be missing from the ledger.", {});
+  }
   kLog.Info("Entry host stopped.",
             {{"cut_requests", callers_.server().active_requests()}});
   context_->StopThreads();
@@ -150,4 +190,21 @@
   }
 }
 
+asio::awaitable<void> entry::ApplyWrittenConfig() {
+  // The follower belongs to the control thread.
+  co_await asio::co_spawn(context_->control(), config_.ReadStore(),
+                          asio::use_awaitable);
+}
+
+asio::awaitable<void> entry::FlushUsage() {
+  while (!context_->stopping()) {
+    co_await SleepFor(usage_ledger::kFlushInterval);
+    result<void> flushed = co_await usage_.Flush();
+    if (!flushed) {
+      kLog.Warning("Usage sums wait for the object API.",
+                   {{"error", flushed.error().message()}});
+    }
+  }
+}
+
 }  // namespace cardamomyard
--- a/packages/node/src/node/entry/entry.h
+++ b/packages/node/src/node/entry/entry.h
@@ -8,10 +8,13 @@
 
 #include "src/node/cancelled_jobs.h"
 #include "src/node/config_follower.h"
+#include "src/node/entry/admin_api.h"
 #include "src/node/entry/backend_registry.h"
 #include "src/node/entry/caller_server.h"
+#include "src/node/entry/config_writer.h"
 #include "src/node/entry/forwarder.h"
 #include "src/node/entry/suspect_registry.h"
+#include "src/node/entry/usage_ledger.h"
 #include "src/node/internal_server.h"
 #include "src/node/process_context.h"
 
@@ -33,12 +36,15 @@
   entry(entry_settings settings, std::unique_ptr<process_context> context);
 
   caller_services MakeServices();
+  admin_services MakeAdminServices();
   boost::asio::awaitable<http_response> OnHeartbeat(
       const http_request& request);
   boost::asio::awaitable<void> FollowConfig();
   boost::asio::awaitable<void> WatchConfig();
   boost::asio::awaitable<void> FollowHostList();
   boost::asio::awaitable<void> RefreshBackends();
+  boost::asio::awaitable<void> ApplyWrittenConfig();
+  boost::asio::awaitable<void> FlushUsage();
 
   entry_settings settings_;
   std::unique_ptr<process_context> context_;
@@ -48,7 +54,10 @@
   suspect_registry suspects_;
   forwarder forwarder_;
   internal_server internal_;
+  config_writer config_writer_;
+  usage_ledger usage_;
   caller_server callers_;
+  admin_api admin_;
   std::atomic<bool> draining_{false};
 };
 
--- a/packages/node/src/node/entry/forwarder.cc
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -171,6 +171,7 @@
     relay_options relay;
     relay.request_id = request.request_id;
     relay.check = request.check;
+    relay.observe = request.observe;
     report.relay = co_await RelayAnswer(**opened, exchange, std::move(relay));
   }
   if (report.relay.failure) {
--- a/packages/node/src/node/entry/forwarder.h
+++ b/packages/node/src/node/entry/forwarder.h
@@ -34,6 +34,8 @@
   /// Fails when the request must end, for instance because its key was
   /// withdrawn.
   std::function<std::optional<error>()> check;
+  /// Called with every piece of the answer before it is sent.
+  std::function<void(const std::string&)> observe;
 };
 
 /// \brief Sends requests to sidecars and retries where that is allowed.
--- a/packages/node/src/node/process_context.cc
+++ b/packages/node/src/node/process_context.cc
@@ -60,6 +60,10 @@
   return control_.At(0).get_executor();
 }
 
+boost::asio::any_io_executor process_context::background() {
+  return background_.At(0).get_executor();
+}
+
 host_address process_context::advertised() const {
   if (settings_.advertise) {
     return *settings_.advertise;
@@ -73,6 +77,7 @@
 
 void process_context::StopThreads() {
   control_.Stop();
+  background_.Stop();
   traffic_.Stop();
 }
 
--- a/packages/node/src/node/process_context.h
+++ b/packages/node/src/node/process_context.h
@@ -39,6 +39,9 @@
   store_client& store() { return *store_; }
   thread_pool& traffic() { return traffic_; }
   boost::asio::any_io_executor control();
+  /// Thread for the operators' requests, so that large configurations delay
+  /// neither traffic nor heartbeats.
+  boost::asio::any_io_executor background();
   /// Milliseconds of wall time at start; a restarted process has a higher one.
   std::int64_t incarnation() const { return incarnation_; }
 
@@ -68,6 +71,7 @@
   std::optional<host_address> bound_;
   std::atomic<bool> stopping_{false};
   thread_pool traffic_;
+  thread_pool background_{1};
   thread_pool control_{1};
 };
 
