--- a/apps/cardamomctl/batch_verbs.cc
+++ b/apps/cardamomctl/batch_verbs.cc
@@ -6,10 +6,6 @@
 namespace json = boost::json;
 namespace {
 
-const std::vector<const char*> kJobFields{"id",        "account",   "state",
-                                          "items",     "completed", "failed",
-                                          "cancelled", "created"};
-
 /// \returns "?a=1&b=2" of the flags that are given.
 std::string Query(
     const invocation& call,
@@ -28,14 +24,17 @@
   const std::string query = Query(call, {{"account", "account"},
                                          {"limit", "limit"},
                                          {"start-after", "start_after"}});
-  return CallAndPrint(call, "GET", "/admin/v1/batches" + query, "",
-                      [](const json::value& answer, std::ostream& out) {
-                        PrintTable(answer.at("data"), kJobFields, out);
-                        if (answer.at("more").as_bool()) {
-                          out << "More: --start-after " << Field(answer, "last")
-                              << "\n";
-                        }
-                      });
+  return CallAndPrint(
+      call, "GET", "/admin/v1/batches" + query, "",
+      [](const json::value& answer, std::ostream& out) {
+        PrintTable(answer.at("data"),
+                   {"id", "account", "state", "items", "completed", "failed",
+                    "cancelled", "created"},
+                   out);
+        if (answer.at("more").as_bool()) {
+          out << "More: --start-after " << Field(answer, "last") << "\n";
+        }
+      });
 }
 
 int Get(invocation& call) {
--- a/packages/node/test/admin_api_test.cc
+++ b/packages/node/test/admin_api_test.cc
@@ -1,5 +1,8 @@
 #include "src/node/entry/admin_api.h"
 
+#include <algorithm>
+
+#include "src/node/entry/usage_ledger.h"
 #include "store_fixture.h"
 
 namespace cardamomyard {
@@ -216,5 +219,61 @@
   EXPECT_NE(refused.body.find("not_run"), std::string::npos);
 }
 
+// Guards against an invoice that misses items or counts them twice.
+TEST_F(admin_api_test, Rule01_EachItemOfAJobIsAccountedForOnce) {
+  std::string chunk;
+  for (const char* id : {"lot-1", "lot-2", "lot-3"}) {
+    chunk += std::string(R"({"custom_id":")") + id +
+             R"(","method":"POST","url":"/v1/completions","body":)"
+             R"({"model":"hamac-lm","prompt":"x"}})" +
+             "\n";
+  }
+  file_manifest manifest;
+  manifest.account = "acme";
+  manifest.bytes = chunk.size();
+  manifest.items = 3;
+  manifest.chunks = {Sha256Hex(chunk)};
+  manifest.items_per_chunk = {3};
+  const wall_time now = time_.WallNow();
+  const auto job =
+      CreateJob("acme", manifest, "/v1/completions", "", now, "n1");
+  ASSERT_TRUE(job) << job.error().message();
+  const auto claimed =
+      Claim(std::nullopt, 3, "sidecar-1", now, std::chrono::seconds(15), "n2");
+  ASSERT_TRUE(claimed);
+  item_result done;
+  done.item = 1;
+  done.tokens = {5, 7};
+  const std::vector<item_result> results{done};
+  const auto committed =
+      Commit(*claimed, {"sidecar-1", claimed->fence}, SegmentName(1, 1),
+             results, now + std::chrono::seconds(15), "n3");
+  ASSERT_TRUE(committed) << committed.error().message();
+  const std::vector<std::pair<std::string, std::string>> objects{
+      {"chunk/" + manifest.chunks[0], chunk},
+      {"file/" + manifest.Id(), manifest.ToJson()},
+      {"batch/job/" + job->id, job->ToJson()},
+      {"batch/group/" + job->id + "/0", committed->ToJson()}};
+  for (const auto& [key, value] : objects) {
+    ASSERT_TRUE(Await(store_->Put(key, value, write_always())));
+  }
+  const http_response items =
+      Call("GET", "/admin/v1/batches/" + job->id + "/items");
+  ASSERT_EQ(items.status, 200) << items.body;
+  EXPECT_EQ(std::count(items.body.begin(), items.body.end(), '\n'), 3);
+  EXPECT_EQ(items.body.find("lot-2"), items.body.rfind("lot-2"));
+  const std::string day = UtcDay(now);
+  std::string target = "/admin/v1/report?account=acme&from=" + day;
+  target += "&to=" + day;
+  const http_response report = Call("GET", target);
+  ASSERT_EQ(report.status, 200) << report.body;
+  EXPECT_NE(report.body.find(job->id), std::string::npos);
+  EXPECT_NE(report.body.find("\"completion_tokens\":7"), std::string::npos);
+  const http_response other =
+      Call("GET", "/admin/v1/batches?account=somebody-else");
+  // The page's cursor names the last job read, whatever its account.
+  EXPECT_NE(other.body.find("\"data\":[]"), std::string::npos) << other.body;
+}
+
 }  // namespace
 }  // namespace cardamomyard
--- a/packages/node/test/config_writer_test.cc
+++ b/packages/node/test/config_writer_test.cc
@@ -44,7 +44,7 @@
   }
   /// Runs a writer that begins with another writer's change to a newer
   /// generation between its read and its write.
-  config_change Racing(config_change change, config_change winner) {
+  config_change Racing(config_change change, const config_change& winner) {
     auto raced = std::make_shared<bool>(false);
     change.apply = [this, raced, winner,
                     inner = change.apply](const configuration& current) {
