--- a/packages/node/src/node/entry/batches_api.cc
+++ b/packages/node/src/node/entry/batches_api.cc
@@ -190,10 +190,12 @@
         co_return Fail(target.error().kind(), where + target.error().message());
       }
       if (!deployment.empty() && *target != deployment) {
-        co_return Fail(error_kind::invalid_request,
-                       where + "is for \"" + *target +
-                           "\", but the items before it are for \"" +
-                           deployment + "\"; a job belongs to one deployment");
+        std::string message = where;
+        message.append("is for \"").append(*target);
+        message.append("\", but the items before it are for \"");
+        message.append(deployment);
+        message.append("\"; a job belongs to one deployment");
+        co_return Fail(error_kind::invalid_request, std::move(message));
       }
       deployment = std::move(*target);
     }
--- a/packages/node/src/node/sidecar/group_session.cc
+++ b/packages/node/src/node/sidecar/group_session.cc
@@ -37,7 +37,7 @@
 }  // namespace
 
 group_session::group_session(batch_parts& parts,
-                             asio::any_io_executor executor,
+                             const asio::any_io_executor& executor,
                              claimed_group claimed,
                              std::atomic<std::int64_t>& tokens)
     : parts_(&parts),
@@ -65,6 +65,7 @@
       ended_ = end_reason::cancelled;
     }
     if (ended_ == end_reason::none && !LeaseHolds() && !committing_) {
+      kLog.Info("The lease of a group has lapsed.", {{"group", key_}});
       ended_ = end_reason::lost;
     }
     if (ended_ == end_reason::lost || ended_ == end_reason::cancelled) {
--- a/packages/node/src/node/sidecar/group_session.h
+++ b/packages/node/src/node/sidecar/group_session.h
@@ -33,7 +33,7 @@
 class group_session : public std::enable_shared_from_this<group_session> {
  public:
   group_session(batch_parts& parts,
-                boost::asio::any_io_executor executor,
+                const boost::asio::any_io_executor& executor,
                 claimed_group claimed,
                 std::atomic<std::int64_t>& tokens);
 
