--- a/packages/limits/src/limits/account_limiter.cc
+++ b/packages/limits/src/limits/account_limiter.cc
@@ -367,8 +367,10 @@
     return refused{error_kind::rate_limited, retry_after};
   }
   // Homes that are asked last fill up and then lose what they refill.
-  std::ranges::rotate(homes, homes.begin() + static_cast<std::ptrdiff_t>(
-                                                 s.borrowed++ % homes.size()));
+  std::rotate(
+      homes.begin(),
+      homes.begin() + static_cast<std::ptrdiff_t>(s.borrowed++ % homes.size()),
+      homes.end());
   // A token that is not used before the loan ends is lost to the account.
   // Random arrivals reach their mean less three deviations in practice, and
   // the loan lasts twice the horizon.
@@ -395,10 +397,20 @@
   }
   slot& s = it->second;
   Settle(s, account, now);
-  const loan granted{std::min(amount, s.tokens),
-                     LoanTime(s.limits.back().value)};
+  loan granted;
+  granted.tokens = std::min(amount, s.tokens);
+  granted.good_for = LoanTime(s.limits.back().value);
   if (granted.tokens <= 0 || granted.tokens + kTolerance < least) {
-    return {};
+    const double missing = std::max(least, kTolerance) - s.tokens;
+    double wait = missing / std::max(s.share.rate_per_second, 1e-3);
+    if (!s.lent.empty() && s.share.burst - Sum(s.lent) < least) {
+      // The bucket refills only when a loan has ended.
+      wait += seconds_double(s.lent.front().expires - now).count();
+    }
+    loan none;
+    none.retry_after = milliseconds(
+        static_cast<std::int64_t>(std::ceil(1000 * std::min(wait, 3600.0))));
+    return none;
   }
   if (settings_.deduct_loans) {
     s.tokens -= granted.tokens;
--- a/packages/limits/src/limits/account_limiter.h
+++ b/packages/limits/src/limits/account_limiter.h
@@ -47,6 +47,8 @@
 struct loan {
   double tokens = 0;
   duration good_for{0};
+  /// When nothing is granted: how long until it may be.
+  std::chrono::milliseconds retry_after{0};
 };
 
 using admission = std::variant<admitted, must_borrow, refused>;
--- a/packages/limits/test/fleet_simulation.h
+++ b/packages/limits/test/fleet_simulation.h
@@ -413,7 +413,8 @@
                time_point start,
                bool inside,
                std::size_t asked,
-               std::vector<std::string> homes = {}) {
+               std::vector<std::string> homes = {},
+               std::optional<std::chrono::milliseconds> told = {}) {
     const admission answer = nodes_[i].limiter->Admit(account, now_);
     if (std::holds_alternative<admitted>(answer)) {
       ++admitted_count;
@@ -421,24 +422,25 @@
       return;
     }
     const auto* borrow = std::get_if<must_borrow>(&answer);
-    if (!borrow || asked >= borrow->homes.size() ||
+    if (borrow && asked == 0) {
+      homes = borrow->homes;
+    }
+    if (!borrow || asked >= homes.size() ||
         now_ - start > std::chrono::milliseconds(150)) {
       // A short lack is waited for, as the entry host does.
       const auto* no = std::get_if<refused>(&answer);
-      const auto wait = borrow ? borrow->retry_after : no->retry_after;
+      const auto known = borrow ? borrow->retry_after : no->retry_after;
+      const auto wait = told.value_or(known);
       if ((borrow || no->kind == error_kind::rate_limited) &&
           now_ + wait - start <= std::chrono::milliseconds(150)) {
         OnHost(i, nodes_[i].life,
-               now_ + std::max(wait, std::chrono::milliseconds(1)),
+               now_ + std::max(wait, std::chrono::milliseconds(5)),
                [=, this] { Request(i, account, start, inside, 0); });
         return;
       }
       wrongful += inside ? 1 : 0;
       return;
     }
-    if (asked == 0) {
-      homes = borrow->homes;
-    }
     const int home = std::stoi(homes[asked].substr(5));
     const time_point sent = now_;
     const int life = nodes_[i].life;
@@ -448,7 +450,10 @@
       Send(home, i, [=, this] {
         if (nodes_[i].life == life) {
           nodes_[i].limiter->Credit(account, granted, sent, now_);
-          Request(i, account, start, inside, asked + 1, homes);
+          Request(i, account, start, inside, asked + 1, homes,
+                  homes.size() == 1 && granted.retry_after.count() > 0
+                      ? std::optional(granted.retry_after)
+                      : std::nullopt);
         }
       });
     });
--- a/packages/node/src/node/cancelled_jobs.h
+++ b/packages/node/src/node/cancelled_jobs.h
@@ -29,9 +29,12 @@
     jobs_.emplace(job, now);
   }
 
-  bool Contains(const std::string& job) const {
+  /// \returns whether the cancel is recent. An old one whose entry host died
+  /// before it was durable no longer stops the job.
+  bool Contains(const std::string& job, time_point now) const {
     const std::lock_guard lock(mutex_);
-    return jobs_.count(job) > 0;
+    const auto known = jobs_.find(job);
+    return known != jobs_.end() && now - known->second < kPassOn;
   }
 
   /// \returns the ids to pass on.
--- a/packages/node/src/node/entry/entry.cc
+++ b/packages/node/src/node/entry/entry.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "src/node/control_client.h"
+#include "src/node/entry/batch_reader.h"
 #include "src/node/internal_api.h"
 #include "src/node/port_file.h"
 #include "src/node/process_status.h"
@@ -92,9 +93,27 @@
   services.writer = &config_writer_;
   services.backends = &backends_;
   services.token = settings_.admin_token;
+  services.cancel_job = [this](std::string job_id) {
+    return CancelForOperator(std::move(job_id));
+  };
+  services.entry_hosts = [this] { return peers_.KnownHosts(); };
   return services;
 }
 
+asio::awaitable<result<std::string>> entry::CancelForOperator(
+    std::string job_id) {
+  batch_reader reader(context_->store());
+  auto job = co_await reader.Job(job_id);
+  if (!job) {
+    co_return Fail(job.error());
+  }
+  auto cancelled = co_await batches_.Cancel(job->account, job_id);
+  if (!cancelled) {
+    co_return Fail(cancelled.error());
+  }
+  co_return DescribeJob(*cancelled);
+}
+
 result<void> entry::Start() {
   callers_.SetAdminApi([this](http_exchange& exchange, caller_request request) {
     return admin_.Serve(exchange, std::move(request));
--- a/packages/node/src/node/entry/entry.h
+++ b/packages/node/src/node/entry/entry.h
@@ -12,8 +12,8 @@
 #include "src/node/entry/backend_registry.h"
 #include "src/node/entry/batches_api.h"
 #include "src/node/entry/caller_server.h"
-#include "src/node/entry/files_api.h"
 #include "src/node/entry/config_writer.h"
+#include "src/node/entry/files_api.h"
 #include "src/node/entry/forwarder.h"
 #include "src/node/entry/idempotency.h"
 #include "src/node/entry/peer_exchange.h"
@@ -41,6 +41,8 @@
 
   caller_services MakeServices();
   admin_services MakeAdminServices();
+  boost::asio::awaitable<result<std::string>> CancelForOperator(
+      std::string job_id);
   boost::asio::awaitable<http_response> OnHeartbeat(
       const http_request& request);
   boost::asio::awaitable<void> FollowHostList();
--- a/packages/node/src/node/entry/peer_exchange.cc
+++ b/packages/node/src/node/entry/peer_exchange.cc
@@ -200,9 +200,7 @@
     }
   }
   for (const std::string& job : digest.cancelled_jobs) {
-    if (!cancelled_->Contains(job)) {
-      cancelled_->Add(job, context_->time().Now());
-    }
+    cancelled_->Add(job, context_->time().Now());
   }
   suspects_->Merge(FromMessages(digest.suspects));
   shares_.HostKnows(digest.host, static_cast<std::uint64_t>(digest.generation),
@@ -415,6 +413,16 @@
   }
 }
 
+std::vector<peer_host> peer_exchange::KnownHosts() const {
+  std::vector<peer_host> hosts;
+  if (const auto addresses = addresses_.Get()) {
+    for (const auto& [id, address] : *addresses) {
+      hosts.push_back({.id = id, .address = address});
+    }
+  }
+  return hosts;
+}
+
 // Contact ------------------------------------------------------------------
 
 // Only hosts of the table can remove this one from it, so their majority
--- a/packages/node/src/node/entry/peer_exchange.h
+++ b/packages/node/src/node/entry/peer_exchange.h
@@ -57,6 +57,8 @@
   /// \returns the epoch of the share table, 0 before the first. Any thread.
   std::uint64_t share_epoch() const { return table_.epoch(); }
   contact_state State() const;
+  /// \returns the other entry hosts, for operators. Any thread.
+  std::vector<peer_host> KnownHosts() const;
   account_limiter& limiter() { return shares_.limiter(); }
 
  private:
--- a/packages/node/src/node/entry/rate_gate.cc
+++ b/packages/node/src/node/entry/rate_gate.cc
@@ -11,6 +11,9 @@
 
 using std::chrono::milliseconds;
 
+// Bounds the messages of one request to some thirty for each home.
+constexpr milliseconds kShortestWait{5};
+
 /// What stands in the way of an admission.
 refused ReasonOf(const admission& answer) {
   if (const auto* borrow = std::get_if<must_borrow>(&answer)) {
@@ -57,7 +60,7 @@
         clock_->Now() + reason.retry_after > deadline) {
       co_return Fail(ToError(reason, account));
     }
-    co_await SleepFor(std::max(reason.retry_after, milliseconds(1)));
+    co_await SleepFor(std::max(reason.retry_after, kShortestWait));
   }
 }
 
@@ -82,10 +85,20 @@
     message.amount = missing->amount;
     message.least = missing->least;
     auto reply = co_await ask_(homes[asked], std::move(message), timeout);
-    if (!reply || !(reply->granted > 0)) {
+    if (!reply) {
+      continue;
+    }
+    if (!(reply->granted > 0)) {
+      // The only home knows best when it will have the token; one that has
+      // no contact or no limits tells no time.
+      if (homes.size() == 1 && reply->retry_after > milliseconds(0)) {
+        answer = refused{error_kind::rate_limited, reply->retry_after};
+      }
       continue;
     }
-    const loan granted{reply->granted, reply->good_for};
+    loan granted;
+    granted.tokens = reply->granted;
+    granted.good_for = reply->good_for;
     limiter_->Credit(account, granted, sent, clock_->Now());
     answer = limiter_->Admit(account, clock_->Now());
   }
@@ -99,6 +112,7 @@
   reply.granted = granted.tokens;
   // Rounded down: a loan may end too early but never too late.
   reply.good_for = std::chrono::floor<milliseconds>(granted.good_for);
+  reply.retry_after = granted.retry_after;
   return reply;
 }
 
--- a/packages/node/src/node/sidecar/batch_worker.cc
+++ b/packages/node/src/node/sidecar/batch_worker.cc
@@ -151,7 +151,7 @@
     co_await Sweep(job);
     co_return false;
   }
-  if (parts_.cancelled->Contains(cancelled)) {
+  if (parts_.cancelled->Contains(cancelled, parts_.context->time().Now())) {
     co_return false;
   }
   result<file_manifest> file = co_await Manifest(job.file_id);
--- a/packages/node/test/rate_gate_test.cc
+++ b/packages/node/test/rate_gate_test.cc
@@ -36,6 +36,7 @@
             on_ask();
           }
           borrow_reply reply{grants[home], std::chrono::milliseconds(100)};
+          reply.retry_after = retry_after;
           co_return reply;
         });
     asio::io_context context;
@@ -54,6 +55,7 @@
   std::map<std::string, double> grants;
   std::vector<std::string> asked;
   std::function<void()> on_ask;
+  std::chrono::milliseconds retry_after{0};
   borrow last;
 };
 
@@ -75,6 +77,14 @@
   EXPECT_EQ(taken.error().retry_after(), std::chrono::milliseconds(2000));
 }
 
+// Guards against a wait or a Retry-After that ignores what the only home told.
+TEST_F(RateGateTest, TheOnlyHomeTellsWhenToComeBack) {
+  retry_after = std::chrono::milliseconds(700);
+  EXPECT_EQ(Take("slow").error().retry_after(), std::chrono::milliseconds(700));
+  EXPECT_EQ(asked.size(), 1U);
+  EXPECT_DOUBLE_EQ(last.least, 1);
+}
+
 // Guards against a loan that is used after the lender gave its room away: the
 // loan lasts 100 ms from when it was asked for.
 TEST_F(RateGateTest, Rule07_ALateLoanIsNotUsed) {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -81,4 +81,5 @@
   2: i64 good_for_ms
   3: i64 generation
   4: i64 share_epoch
+  5: i64 retry_after_ms
 }
--- a/packages/wire/src/wire/codec.cc
+++ b/packages/wire/src/wire/codec.cc
@@ -260,6 +260,7 @@
   thrift_wire::BorrowReply wire;
   wire.granted = message.granted;
   wire.good_for_ms = message.good_for.count();
+  wire.retry_after_ms = message.retry_after.count();
   wire.generation = message.generation;
   wire.share_epoch = message.share_epoch;
   return Serialize(wire);
@@ -271,7 +272,8 @@
       [](const thrift_wire::BorrowReply& wire) {
         return borrow_reply{wire.granted,
                             std::chrono::milliseconds(wire.good_for_ms),
-                            wire.generation, wire.share_epoch};
+                            wire.generation, wire.share_epoch,
+                            std::chrono::milliseconds(wire.retry_after_ms)};
       });
 }
 
--- a/packages/wire/src/wire/messages.h
+++ b/packages/wire/src/wire/messages.h
@@ -116,6 +116,8 @@
   std::chrono::milliseconds good_for{0};
   std::int64_t generation = 0;
   std::int64_t share_epoch = 0;
+  /// When nothing is granted: how long until it may be.
+  std::chrono::milliseconds retry_after{0};
   friend bool operator==(const borrow_reply&, const borrow_reply&) = default;
 };
 
