Tell the entry host of a crash suspect with the refusal

One request sent 12 times through two entry hosts cost 3 of 4 engines; the logs showed two deaths 10 ms apart. The sidecar now puts its suspect entry on the refusal and the entry host merges it before it decides on a retry.

Found by test/failure_test.cc and test/credentials_test.cc.

--- a/packages/node/src/node/entry/caller_server.cc
+++ b/packages/node/src/node/entry/caller_server.cc
@@ -1,5 +1,6 @@
 #include "src/node/entry/caller_server.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <utility>
 
@@ -23,8 +24,24 @@
          (path.size() == prefix.size() || path[prefix.size()] == '/');
 }
 
-/// Requests with a body read it whole; it must not carry a key.
+/// \returns whether a header that would be passed on contains a key.
+bool ForwardsKey(const header_list& headers) {
+  const header_list kept = ForwardableHeaders(headers);
+  return std::any_of(headers.all().begin(), headers.all().end(),
+                     [&kept](const http_header& field) {
+                       return ContainsKey(field.value) &&
+                              kept.Count(field.name) > 0;
+                     });
+}
+
+/// Requests with a body read it whole; neither the body nor a header that is
+/// passed on may carry a key. Redacting it would make different values of
+/// Idempotency-Key equal.
 asio::awaitable<result<std::string>> ReadCheckedBody(http_exchange& exchange) {
+  if (ForwardsKey(exchange.request().headers)) {
+    co_return Fail(error_kind::invalid_credentials,
+                   "a key belongs only into the Authorization header");
+  }
   result<std::string> body = co_await exchange.ReadBody(kMaxBodyBytes);
   if (body && ContainsKey(*body)) {
     co_return Fail(error_kind::invalid_request,
--- a/packages/node/src/node/entry/forwarder.cc
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "src/node/internal_api.h"
+#include "src/node/suspect_codec.h"
 
 namespace cardamomyard {
 namespace asio = boost::asio;
@@ -11,6 +12,7 @@
 constexpr std::chrono::milliseconds kSidecarConnectTimeout{500};
 constexpr std::size_t kMaxErrorBytes = 64 * 1024;
 constexpr std::size_t kExchangeIdBytes = 8;
+constexpr std::chrono::hours kSuspectLifetime{1};
 
 http_request SidecarRequest(const forward_request& request,
                             std::chrono::milliseconds budget,
@@ -164,6 +166,12 @@
                                        "the answer belongs to another request");
   } else if ((*opened)->status() >= 400 &&
              (*opened)->headers().Get(internal_api::kRefusal)) {
+    if (const auto suspect = FromHeader(
+            Fingerprint(request.account, path, request.body),
+            (*opened)->headers().Get(internal_api::kSuspect).value_or(""),
+            context_->time().WallNow() + kSuspectLifetime)) {
+      suspects_->Merge({*suspect});
+    }
     result<std::string> body = co_await (*opened)->ReadAll(kMaxErrorBytes);
     report.relay.failure =
         ParseErrorBody((*opened)->status(), body ? *body : std::string());
--- a/packages/node/src/node/internal_api.h
+++ b/packages/node/src/node/internal_api.h
@@ -28,6 +28,11 @@
 /// server that is passed on.
 inline constexpr std::string_view kRefusal = "X-Cardamomyard-Refusal";
 
+/// On a refusal: "<round> <state>" of the request as a crash suspect. The entry
+/// host must know it before it decides on a retry, and a heartbeat may arrive
+/// later than the refusal.
+inline constexpr std::string_view kSuspect = "X-Cardamomyard-Suspect";
+
 inline constexpr std::string_view kRequestId = "X-Request-Id";
 inline constexpr std::string_view kTraceparent = "traceparent";
 
--- a/packages/node/src/node/sidecar/backend_monitor.cc
+++ b/packages/node/src/node/sidecar/backend_monitor.cc
@@ -141,6 +141,16 @@
   return suspects_.Entries(context_->time().WallNow());
 }
 
+std::optional<suspect_entry> backend_monitor::FindSuspect(
+    fingerprint print) const {
+  for (const suspect_entry& entry : Suspects()) {
+    if (entry.print == print) {
+      return entry;
+    }
+  }
+  return std::nullopt;
+}
+
 void backend_monitor::RecordSurvival(fingerprint print) {
   const std::lock_guard lock(mutex_);
   suspects_.Survived(print, context_->time().WallNow());
--- a/packages/node/src/node/sidecar/backend_monitor.h
+++ b/packages/node/src/node/sidecar/backend_monitor.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -42,6 +43,7 @@
   /// Merges what other processes know. \returns whether anything was new.
   bool MergeSuspects(const std::vector<suspect_entry>& entries);
   std::vector<suspect_entry> Suspects() const;
+  std::optional<suspect_entry> FindSuspect(fingerprint print) const;
   void RecordSurvival(fingerprint print);
   /// Called from any thread when suspects were recorded.
   void OnDeath(std::function<void()> callback) {
--- a/packages/node/src/node/sidecar/online_handler.cc
+++ b/packages/node/src/node/sidecar/online_handler.cc
@@ -6,6 +6,7 @@
 
 #include "src/node/answer_relay.h"
 #include "src/node/internal_api.h"
+#include "src/node/suspect_codec.h"
 
 namespace cardamomyard {
 namespace asio = boost::asio;
@@ -99,6 +100,7 @@
 
   const std::string request_id_text = call.request_id_text;
   const std::string exchange_id = call.exchange_id;
+  const fingerprint print = call.print;
   std::optional<error> failure = ready_();
   if (!failure) {
     failure = co_await Run(exchange, std::move(call));
@@ -107,6 +109,9 @@
     http_response refusal = ErrorResponse(*failure, request_id_text);
     refusal.headers.Set(internal_api::kExchangeId, exchange_id);
     refusal.headers.Set(internal_api::kRefusal, "1");
+    if (const auto suspect = monitor_->FindSuspect(print)) {
+      refusal.headers.Set(internal_api::kSuspect, ToHeader(*suspect));
+    }
     co_await exchange.Send(std::move(refusal));
   }
   if (failure) {
--- a/packages/node/src/node/suspect_codec.cc
+++ b/packages/node/src/node/suspect_codec.cc
@@ -1,5 +1,7 @@
 #include "src/node/suspect_codec.h"
 
+#include <sstream>
+
 namespace cardamomyard {
 
 std::vector<suspect_message> ToMessages(
@@ -32,4 +34,23 @@
   return entries;
 }
 
+std::string ToHeader(const suspect_entry& entry) {
+  return std::to_string(entry.round) + " " +
+         std::to_string(static_cast<int>(entry.state));
+}
+
+std::optional<suspect_entry> FromHeader(fingerprint print,
+                                        const std::string& text,
+                                        wall_time expiry) {
+  std::istringstream fields(text);
+  std::uint32_t round = 0;
+  int state = 0;
+  fields >> round >> state;
+  if (!fields || state < 0 ||
+      state > static_cast<int>(suspect_state::convicted)) {
+    return std::nullopt;
+  }
+  return suspect_entry{print, round, static_cast<suspect_state>(state), expiry};
+}
+
 }  // namespace cardamomyard
--- a/packages/node/src/node/suspect_codec.h
+++ b/packages/node/src/node/suspect_codec.h
@@ -1,6 +1,8 @@
 #ifndef CARDAMOMYARD_NODE_SUSPECT_CODEC_H_
 #define CARDAMOMYARD_NODE_SUSPECT_CODEC_H_
 
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "cardamomyard/routing.h"
@@ -16,6 +18,13 @@
 std::vector<suspect_entry> FromMessages(
     const std::vector<suspect_message>& messages);
 
+/// \returns the value of internal_api::kSuspect.
+std::string ToHeader(const suspect_entry& entry);
+/// \param expiry  of the entry, which the header doesn't carry.
+std::optional<suspect_entry> FromHeader(fingerprint print,
+                                        const std::string& text,
+                                        wall_time expiry);
+
 }  // namespace cardamomyard
 
 #endif  // CARDAMOMYARD_NODE_SUSPECT_CODEC_H_
