Interpret the state charts where states change

Cause: the five charts were loaded by tests only, while batch items, jobs, leases, keys and backend servers changed state by code of their own. The code's table let a draining server be down and then serve again. Ruled out: passing the charts through every call of the decision packages; they are the same for the whole process and checked once at start. Figures: the new test Rule11_DrainIsFinalAlsoWhenTheEngineDies fails with the old table and passes with the chart.

--- a/packages/batch/src/batch/group.cc
+++ b/packages/batch/src/batch/group.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cassert>
 
+#include "cardamomyard/statechart.h"
+#include "src/batch/item_life.h"
 #include "src/batch/json_fields.h"
 
 namespace cardamomyard {
@@ -12,12 +14,24 @@
   record.nonce = std::move(nonce);
 }
 
+/// Ends an item whose run may have started and whose holder is gone.
 void EndUnknown(group_item& item) {
-  item.state = item_state::failed;
+  if (!internal::Advance(item, "lapse")) {
+    return;
+  }
+  item.intent = true;
   item.failure = error_kind::unknown_outcome;
   item.message = "the holder stopped while the item may have run";
 }
 
+/// \returns the state of the group's lease for the chart lease.
+std::string_view LeaseState(const group_record& record, wall_time now) {
+  if (record.holder.empty()) {
+    return "free";
+  }
+  return now < record.lease_end + kLeaseMargin ? "held" : "expired";
+}
+
 void CloseIfDone(group_record& record) {
   if (record.Counts().total() == record.items.size()) {
     record.state = group_state::done;
@@ -37,6 +51,20 @@
   return {};
 }
 
+std::string_view EventOf(item_result::verdict ended) {
+  switch (ended) {
+    case item_result::verdict::completed:
+      return "complete";
+    case item_result::verdict::failed:
+      return "fail";
+    case item_result::verdict::retry:
+      return "retry";
+    case item_result::verdict::suspect:
+      return "crash";
+  }
+  return "";
+}
+
 result<void> Apply(group_item& item,
                    const item_result& ended,
                    std::optional<std::uint32_t> segment) {
@@ -55,22 +83,17 @@
     return Fail(error_kind::internal,
                 "a non-repeatable item that may have run must not be retried");
   }
+  if (result<void> advanced = internal::Advance(item, EventOf(ended.ended));
+      !advanced) {
+    return advanced;
+  }
   item.attempts += ended.counts_as_attempt ? 1 : 0;
-  item.intent = false;
-  switch (ended.ended) {
-    case verdict::completed:
-      item.state = item_state::completed;
-      break;
-    case verdict::failed:
-      item.state = item_state::failed;
-      item.failure = ended.failure;
-      item.message = internal::BoundedMessage(ended.message);
-      break;
-    case verdict::retry:
-      return {};
-    case verdict::suspect:
-      ++item.crashes;
-      return {};
+  if (!final) {
+    return {};
+  }
+  if (ended.ended == verdict::failed) {
+    item.failure = ended.failure;
+    item.message = internal::BoundedMessage(ended.message);
   }
   item.tokens = ended.tokens;
   item.segment = segment;
@@ -102,8 +125,9 @@
   if (record.finished()) {
     return Fail(error_kind::conflict, "the group has ended");
   }
-  if (!record.holder.empty() && record.holder != holder &&
-      now < record.lease_end + kLeaseMargin) {
+  const bool own = record.holder == holder;
+  if (!ActiveCharts().lease.Next(LeaseState(record, now),
+                                 own ? "renew" : "acquire")) {
     return Fail(error_kind::overloaded,
                 "the group is held by \"" + record.holder + "\"");
   }
@@ -160,13 +184,14 @@
     return Fail(held.error());
   }
   for (const std::size_t i : items) {
-    if (i >= record.items.size() ||
-        record.items[i].state != item_state::pending ||
-        record.items[i].intent) {
+    if (i >= record.items.size()) {
       return Fail(error_kind::conflict,
                   "item " + std::to_string(i) + " cannot be started");
     }
-    record.items[i].intent = true;
+    if (result<void> intended = internal::Advance(record.items[i], "intend");
+        !intended) {
+      return Fail(intended.error());
+    }
   }
   record.lease_end = std::chrono::floor<std::chrono::milliseconds>(renew_until);
   Stamp(record, std::move(nonce));
@@ -207,7 +232,7 @@
     if (item.intent) {
       EndUnknown(item);
     } else {
-      item.state = item_state::cancelled;
+      internal::Advance(item, "cancel");
     }
   }
   record.state = group_state::closed;
--- a/packages/batch/src/batch/job.cc
+++ b/packages/batch/src/batch/job.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <stdexcept>
 
+#include "cardamomyard/statechart.h"
 #include "src/batch/json_fields.h"
 
 namespace cardamomyard {
@@ -13,6 +14,17 @@
 constexpr std::array<std::string_view, 5> kStates{
     "in_progress", "cancelling", "completed", "cancelled", "failed"};
 
+/// \returns the state after \p event, or the chart's conflict.
+result<job_state> NextState(job_state state, std::string_view event) {
+  const auto next = ActiveCharts().batch_job.Next(ToString(state), event);
+  if (!next) {
+    return Fail(error_kind::conflict,
+                "the job is " + std::string(ToString(state)));
+  }
+  const auto* found = std::find(kStates.begin(), kStates.end(), *next);
+  return static_cast<job_state>(found - kStates.begin());
+}
+
 void Stamp(job_record& job, std::string nonce) {
   ++job.fence;
   job.nonce = std::move(nonce);
@@ -117,9 +129,8 @@
   if (job.done[group]) {
     return job;
   }
-  if (job.state != job_state::in_progress) {
-    return Fail(error_kind::conflict,
-                "the job is " + std::string(ToString(job.state)));
+  if (auto open = NextState(job.state, "group_done"); !open) {
+    return Fail(open.error());
   }
   job.done[group] = true;
   job.counts += counts;
@@ -128,8 +139,12 @@
       return Fail(error_kind::internal,
                   "the counts of the groups do not cover the job's items");
     }
-    job.state = job.counts.failed == job.items ? job_state::failed
-                                               : job_state::completed;
+    auto ended = NextState(job.state,
+                           job.counts.failed == job.items ? "fail" : "finish");
+    if (!ended) {
+      return Fail(ended.error());
+    }
+    job.state = *ended;
   }
   Stamp(job, std::move(nonce));
   return job;
@@ -139,11 +154,11 @@
   if (job.state == job_state::cancelling || job.state == job_state::cancelled) {
     return job;
   }
-  if (job.finished()) {
-    return Fail(error_kind::conflict,
-                "the job has ended as " + std::string(ToString(job.state)));
+  auto cancelling = NextState(job.state, "cancel");
+  if (!cancelling) {
+    return Fail(cancelling.error());
   }
-  job.state = job_state::cancelling;
+  job.state = *cancelling;
   Stamp(job, std::move(nonce));
   return job;
 }
@@ -154,14 +169,15 @@
   if (job.state == job_state::cancelled) {
     return job;
   }
-  if (job.state != job_state::cancelling) {
-    return Fail(error_kind::conflict, "the job is not being cancelled");
+  auto swept = NextState(job.state, "sweep");
+  if (!swept) {
+    return Fail(swept.error());
   }
   if (totals.total() != job.items) {
     return Fail(error_kind::internal,
                 "the sweep did not close every group of the job");
   }
-  job.state = job_state::cancelled;
+  job.state = *swept;
   job.counts = totals;
   job.done.assign(job.done.size(), true);
   Stamp(job, std::move(nonce));
--- a/packages/config/src/config/edit.cc
+++ b/packages/config/src/config/edit.cc
@@ -6,6 +6,8 @@
 #include "src/config/entity_json.h"
 #include "src/config/fields.h"
 
+#include "cardamomyard/statechart.h"
+
 namespace cardamomyard {
 namespace {
 
@@ -208,6 +210,9 @@
   if (found->withdrawn) {
     return current;
   }
+  if (const auto next = ActiveCharts().key.Next("active", "withdraw"); !next) {
+    return Fail(next.error());
+  }
   const record_ptr before = current.Find("key/" + found->id);
   key_config key = *found;
   key.withdrawn = true;
--- a/packages/membership/src/membership/backend_view.cc
+++ b/packages/membership/src/membership/backend_view.cc
@@ -1,7 +1,12 @@
 #include "src/membership/backend_view.h"
 
+#include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
+#include "cardamomyard/statechart.h"
+
 namespace cardamomyard {
 namespace {
 
@@ -9,17 +14,47 @@
 
 }  // namespace
 
-bool MayFollow(backend_state from, backend_state to) {
-  switch (from) {
+namespace {
+
+constexpr std::array<std::string_view, 4> kStates{"starting", "serving",
+                                                  "draining", "down"};
+
+std::string_view NameOf(backend_state state) {
+  return kStates[static_cast<std::size_t>(state)];
+}
+
+/// \returns the event of the chart backend_server that a report stands for.
+std::string_view EventOf(backend_state reported) {
+  switch (reported) {
     case backend_state::starting:
+      return "restart";
     case backend_state::serving:
-      return to != backend_state::starting || from == to;
+      return "ready";
     case backend_state::draining:
-      return to == backend_state::draining || to == backend_state::down;
+      return "drain";
     case backend_state::down:
-      return to != backend_state::draining;
+      return "fail";
+  }
+  return "";
+}
+
+}  // namespace
+
+std::optional<backend_state> NextBackendState(backend_state from,
+                                              backend_state reported) {
+  if (from == reported) {
+    return from;
+  }
+  const auto next =
+      ActiveCharts().backend_server.Next(NameOf(from), EventOf(reported));
+  if (!next) {
+    return std::nullopt;
+  }
+  const auto* found = std::find(kStates.begin(), kStates.end(), *next);
+  if (found == kStates.end()) {
+    return std::nullopt;
   }
-  return false;
+  return static_cast<backend_state>(found - kStates.begin());
 }
 
 bool backend_view::Heartbeat(const backend_report& report, time_point now) {
@@ -34,14 +69,17 @@
       std::pair(last.incarnation, last.sequence)) {
     return false;
   }
+  backend_report taken = report;
   if (report.incarnation > last.incarnation) {
     // The list may still show the state of the old incarnation, so leaving
     // stays until the list says live.
     known.listed = now;
-  } else if (!MayFollow(last.state, report.state)) {
+  } else if (const auto next = NextBackendState(last.state, report.state)) {
+    taken.state = *next;
+  } else {
     return false;
   }
-  known.report = report;
+  known.report = std::move(taken);
   known.heard = now;
   return true;
 }
--- a/packages/membership/src/membership/backend_view.h
+++ b/packages/membership/src/membership/backend_view.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,9 +36,10 @@
                          const backend_report&) = default;
 };
 
-/// \returns whether a backend server may go from one state to the other
-/// within one incarnation. A drain is final.
-bool MayFollow(backend_state from, backend_state to);
+/// \returns the state after a report within one incarnation, by the chart
+/// backend_server; nothing when the report cannot follow. A drain is final.
+std::optional<backend_state> NextBackendState(backend_state from,
+                                              backend_state reported);
 
 /// \brief The usable backend servers of each deployment; immutable.
 using backend_snapshot = std::map<std::string, std::vector<backend_report>>;
--- a/packages/membership/test/view_test.cc
+++ b/packages/membership/test/view_test.cc
@@ -49,6 +49,16 @@
   EXPECT_FALSE(view.Usable(kStart)->empty());
 }
 
+// Guards against a server that drains, loses its engine and is then used
+// again; the table before the chart allowed draining, down, serving.
+TEST(BackendViewTest, Rule11_DrainIsFinalAlsoWhenTheEngineDies) {
+  backend_view view(seconds(5));
+  view.Heartbeat(Report(1, 1, backend_state::draining), kStart);
+  EXPECT_TRUE(view.Heartbeat(Report(1, 2, backend_state::down), kStart));
+  view.Heartbeat(Report(1, 3, backend_state::serving), kStart);
+  EXPECT_TRUE(view.Usable(kStart)->empty());
+}
+
 // Guards against a lagging list that removes a server which has just joined.
 TEST(BackendViewTest, MissingFromTheListRemovesAfterItsLag) {
   backend_view view(seconds(5));
--- a/packages/statechart/include/cardamomyard/statechart.h
+++ b/packages/statechart/include/cardamomyard/statechart.h
@@ -4,6 +4,7 @@
 /// \file
 /// Public header of the package statechart: state charts read from files.
 
+#include "src/statechart/active_charts.h"
 #include "src/statechart/chart_set.h"
 #include "src/statechart/state_chart.h"
 
