--- a/packages/node/src/node/settings.cc
+++ b/packages/node/src/node/settings.cc
@@ -11,6 +11,8 @@
 #include <sstream>
 #include <utility>
 
+#include "src/node/charts_folder.h"
+
 namespace cardamomyard {
 namespace {
 
@@ -42,7 +44,7 @@
      flag_role::any},
     {"secret-file", "", "file with the shared secret, at least 16 bytes",
      flag_role::any},
-    {"charts", "charts", "folder of the state charts, checked at start",
+    {"charts", "", "folder of the state charts, checked at start",
      flag_role::any},
     {"trace-file", "", "file for spans as OTLP JSON lines", flag_role::any},
     {"log-level", "info", "debug, info, warning or error", flag_role::any},
@@ -233,6 +235,9 @@
   common.peers = flags.Addresses("peers");
   common.secret = flags.Secret("secret-file", 16);
   common.charts_folder = flags.Text("charts");
+  if (common.charts_folder.empty()) {
+    common.charts_folder = DefaultChartsFolder();
+  }
   common.trace_file = flags.Text("trace-file");
   common.level =
       flags.OneOf<log_level>("log-level", {{"debug", log_level::debug},
