Share the choice by lowest wait between two routers

Cause: affinity_router and least_loaded_router stood twice but for the candidates; reading and watching the head stood twice as well. Conclusion: internal::lowest_wait and config_follower::TakeHead.

--- a/packages/node/src/node/config_follower.cc
+++ b/packages/node/src/node/config_follower.cc
@@ -40,38 +40,32 @@
 asio::awaitable<result<time_point>> config_follower::ReadStore() {
   const time_point sent = context_->time().Now();
   auto head = co_await context_->store().Get(kHeadKey);
-  if (!head) {
-    co_return Fail(head.error());
-  }
-  if (*head) {
-    head_version_ = (*head)->version;
-    blob_source fetch = [this](std::string name) {
-      return StoreBlob(std::move(name));
-    };
-    auto applied = co_await Apply(std::move((*head)->value), std::move(fetch));
-    if (!applied) {
-      co_return Fail(applied.error());
-    }
-  }
-  co_return sent;
+  co_return co_await TakeHead(std::move(head), sent);
 }
 
 asio::awaitable<result<time_point>> config_follower::WatchStore(
     std::chrono::milliseconds wait) {
   const time_point sent = context_->time().Now();
   auto head = co_await context_->store().Watch(kHeadKey, head_version_, wait);
+  co_return co_await TakeHead(std::move(head), sent);
+}
+
+asio::awaitable<result<time_point>> config_follower::TakeHead(
+    result<std::optional<stored_object>> head,
+    time_point sent) {
   if (!head) {
     co_return Fail(head.error());
   }
-  if (*head) {
-    head_version_ = (*head)->version;
-    blob_source fetch = [this](std::string name) {
-      return StoreBlob(std::move(name));
-    };
-    auto applied = co_await Apply(std::move((*head)->value), std::move(fetch));
-    if (!applied) {
-      co_return Fail(applied.error());
-    }
+  if (!*head) {
+    co_return sent;
+  }
+  head_version_ = (*head)->version;
+  blob_source fetch = [this](std::string name) {
+    return StoreBlob(std::move(name));
+  };
+  auto applied = co_await Apply(std::move((*head)->value), std::move(fetch));
+  if (!applied) {
+    co_return Fail(applied.error());
   }
   co_return sent;
 }
--- a/packages/node/src/node/config_follower.h
+++ b/packages/node/src/node/config_follower.h
@@ -60,6 +60,10 @@
   using blob_source =
       std::function<boost::asio::awaitable<result<std::string>>(std::string)>;
 
+  /// Applies a head as read at \p sent; an absent one is no error.
+  boost::asio::awaitable<result<time_point>> TakeHead(
+      result<std::optional<stored_object>> head,
+      time_point sent);
   boost::asio::awaitable<result<void>> Apply(std::string head_text,
                                              blob_source fetch);
   boost::asio::awaitable<result<std::string>> StoreBlob(std::string name);
--- a/packages/routing/src/routing/affinity_router.h
+++ b/packages/routing/src/routing/affinity_router.h
@@ -6,11 +6,11 @@
 #include <random>
 #include <span>
 #include <string>
+#include <utility>
 
 #include "src/base/result.h"
 #include "src/routing/candidate_set.h"
-#include "src/routing/unreported_load.h"
-#include "src/routing/wait_estimate.h"
+#include "src/routing/lowest_wait.h"
 
 namespace cardamomyard {
 
@@ -22,10 +22,13 @@
 /// thread-safe.
 class affinity_router {
  public:
-  explicit affinity_router(std::string zone, wait_model model = {});
+  explicit affinity_router(std::string zone, wait_model model = {})
+      : wait_(std::move(zone), model) {}
 
   /// \brief Replaces the snapshot.
-  void Update(std::shared_ptr<const candidate_set> set);
+  void Update(std::shared_ptr<const candidate_set> set) {
+    wait_.Update(std::move(set));
+  }
   /// \param prefix_hash  \sa PromptPrefixHash
   /// \param excluded  servers that already failed this request.
   /// \returns the server for the next attempt, or `no_backend`.
@@ -33,16 +36,13 @@
                                 std::span<const std::string> excluded,
                                 time_point now,
                                 std::mt19937_64& random);
-  void Sent(const std::string& id, time_point now) { load_.Sent(id, now); }
+  void Sent(const std::string& id, time_point now) { wait_.Sent(id, now); }
   void Finished(const std::string& id, time_point now) {
-    load_.Finished(id, now);
+    wait_.Finished(id, now);
   }
 
  private:
-  std::string zone_;
-  wait_model model_;
-  std::shared_ptr<const candidate_set> set_;
-  internal::unreported_load load_;
+  internal::lowest_wait wait_;
 };
 
 }  // namespace cardamomyard
--- a/packages/routing/src/routing/least_loaded_router.h
+++ b/packages/routing/src/routing/least_loaded_router.h
@@ -6,11 +6,11 @@
 #include <random>
 #include <span>
 #include <string>
+#include <utility>
 
 #include "src/base/result.h"
 #include "src/routing/candidate_set.h"
-#include "src/routing/unreported_load.h"
-#include "src/routing/wait_estimate.h"
+#include "src/routing/lowest_wait.h"
 
 namespace cardamomyard {
 
@@ -18,24 +18,24 @@
 /// services, which have few servers and no prompt cache.
 class least_loaded_router {
  public:
-  explicit least_loaded_router(std::string zone, wait_model model = {});
+  explicit least_loaded_router(std::string zone, wait_model model = {})
+      : wait_(std::move(zone), model) {}
 
-  void Update(std::shared_ptr<const candidate_set> set);
+  void Update(std::shared_ptr<const candidate_set> set) {
+    wait_.Update(std::move(set));
+  }
   /// \sa affinity_router::Choose
   result<routing_choice> Choose(std::uint64_t prefix_hash,
                                 std::span<const std::string> excluded,
                                 time_point now,
                                 std::mt19937_64& random);
-  void Sent(const std::string& id, time_point now) { load_.Sent(id, now); }
+  void Sent(const std::string& id, time_point now) { wait_.Sent(id, now); }
   void Finished(const std::string& id, time_point now) {
-    load_.Finished(id, now);
+    wait_.Finished(id, now);
   }
 
  private:
-  std::string zone_;
-  wait_model model_;
-  std::shared_ptr<const candidate_set> set_;
-  internal::unreported_load load_;
+  internal::lowest_wait wait_;
 };
 
 }  // namespace cardamomyard
--- /dev/null
+++ b/packages/routing/src/routing/lowest_wait.h
@@ -0,0 +1,45 @@
+#ifndef CARDAMOMYARD_ROUTING_LOWEST_WAIT_H_
+#define CARDAMOMYARD_ROUTING_LOWEST_WAIT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "src/base/result.h"
+#include "src/routing/candidate_set.h"
+#include "src/routing/unreported_load.h"
+#include "src/routing/wait_estimate.h"
+
+namespace cardamomyard::internal {
+
+/// \brief Picks the server with the lowest estimated wait among some of a
+/// snapshot, with the requests sent since the last reports.
+class lowest_wait {
+ public:
+  lowest_wait(std::string zone, wait_model model);
+
+  const candidate_set& set() const { return *set_; }
+  /// \brief Replaces the snapshot.
+  void Update(std::shared_ptr<const candidate_set> set);
+  /// \param picks  indexes into the snapshot; the first of equals wins.
+  /// \returns the choice, or `no_backend` without picks.
+  result<routing_choice> Choose(std::span<const std::size_t> picks,
+                                std::uint64_t prefix_hash,
+                                time_point now);
+  void Sent(const std::string& id, time_point now) { load_.Sent(id, now); }
+  void Finished(const std::string& id, time_point now) {
+    load_.Finished(id, now);
+  }
+
+ private:
+  std::string zone_;
+  wait_model model_;
+  std::shared_ptr<const candidate_set> set_;
+  unreported_load load_;
+};
+
+}  // namespace cardamomyard::internal
+
+#endif  // CARDAMOMYARD_ROUTING_LOWEST_WAIT_H_
