--- a/packages/admission/include/cardamomyard/admission.h
+++ b/packages/admission/include/cardamomyard/admission.h
@@ -6,8 +6,10 @@
 /// of online and batch work, fencing of engine orders, load slots.
 
 #include "src/admission/admission_controller.h"
+#include "src/admission/admission_policy.h"
 #include "src/admission/capacity_estimator.h"
 #include "src/admission/fair_queue.h"
+#include "src/admission/first_come_admission.h"
 #include "src/admission/load_slots.h"
 #include "src/admission/naive_admission.h"
 #include "src/admission/order_guard.h"
--- a/packages/node/src/node/control_client.cc
+++ b/packages/node/src/node/control_client.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "src/net/message_size.h"
+#include "src/node/control_traffic.h"
+
 namespace cardamomyard {
 
 boost::asio::awaitable<result<std::string>> CallProcess(
@@ -16,6 +19,8 @@
   request.target = std::move(target);
   request.body = std::move(body);
   context.signer().Sign(request);
+  control_traffic traffic(context.metrics());
+  traffic.Sent(MessageBytes(request));
   call_options options;
   options.connect_timeout = timeout;
   options.head_timeout = timeout;
@@ -27,6 +32,7 @@
   if (!answer) {
     co_return Fail(answer.error());
   }
+  traffic.Received(MessageBytes(*answer));
   if (answer->status != 200) {
     co_return Fail(ParseErrorBody(answer->status, answer->body));
   }
--- a/packages/node/src/node/entry/backend_registry.cc
+++ b/packages/node/src/node/entry/backend_registry.cc
@@ -107,14 +107,19 @@
       .Set(static_cast<std::int64_t>(count));
 }
 
+router backend_registry::MakeRouter() const {
+  if (context_->settings().policy == policy_kind::naive) {
+    return router(round_robin_router());
+  }
+  return router(affinity_router(context_->settings().zone));
+}
+
 router& backend_registry::RouterOf(const std::string& deployment) {
   const auto found = routers_.find(deployment);
   if (found != routers_.end()) {
     return found->second;
   }
-  return routers_
-      .emplace(deployment, router(affinity_router(context_->settings().zone)))
-      .first->second;
+  return routers_.emplace(deployment, MakeRouter()).first->second;
 }
 
 result<routing_choice> backend_registry::Choose(
--- a/packages/node/src/node/entry/backend_registry.h
+++ b/packages/node/src/node/entry/backend_registry.h
@@ -48,6 +48,7 @@
   std::vector<heard_heartbeat> Heard() const;
 
  private:
+  router MakeRouter() const;
   router& RouterOf(const std::string& deployment);
   void CountUsable(const std::string& deployment, std::size_t count);
 
--- a/packages/node/src/node/entry/peer_exchange.cc
+++ b/packages/node/src/node/entry/peer_exchange.cc
@@ -74,12 +74,7 @@
               peers_,
               store_,
               [this](const std::string& host) { AskToRemove(host); }),
-      gate_(shares_.limiter(),
-            context.time(),
-            context.settings().id,
-            [this](std::string home, borrow message, milliseconds timeout) {
-              return AskHome(std::move(home), std::move(message), timeout);
-            }),
+      gate_(MakeGate()),
       random_(Hash64(context.settings().id,
                      static_cast<std::uint64_t>(context.incarnation()))) {
   for (const host_address& peer : context.settings().peers) {
@@ -87,6 +82,9 @@
   }
   config.OnChange([this](const config_view& view) {
     shares_.SetConfig(view);
+    if (auto* split = std::get_if<fixed_split_gate>(&gate_)) {
+      split->SetAccounts(LimitsOf(view.content()));
+    }
     AnnounceHere();
   });
   table_.OnChange([this](const share_table& table, table_origin origin) {
@@ -94,6 +92,21 @@
   });
 }
 
+std::variant<rate_gate, fixed_split_gate> peer_exchange::MakeGate() {
+  using gate_variant = std::variant<rate_gate, fixed_split_gate>;
+  const common_settings& settings = context_->settings();
+  if (settings.policy == policy_kind::naive) {
+    return gate_variant(std::in_place_type<fixed_split_gate>,
+                        settings.peers.size() + 1, context_->time());
+  }
+  return gate_variant(
+      std::in_place_type<rate_gate>, shares_.limiter(), context_->time(),
+      settings.id,
+      [this](std::string home, borrow message, milliseconds timeout) {
+        return AskHome(std::move(home), std::move(message), timeout);
+      });
+}
+
 void peer_exchange::AddHandlers(internal_server& server) {
   server.AddControl(
       std::string(internal_api::kDigest),
@@ -129,7 +142,8 @@
 }
 
 asio::awaitable<result<void>> peer_exchange::TakeToken(std::string account) {
-  return gate_.Take(std::move(account));
+  return std::visit(
+      [&account](auto& gate) { return gate.Take(std::move(account)); }, gate_);
 }
 
 std::optional<error> peer_exchange::Refusal() const {
@@ -588,7 +602,8 @@
   shares_.HostKnows(message->borrower,
                     static_cast<std::uint64_t>(message->generation),
                     static_cast<std::uint64_t>(message->share_epoch));
-  borrow_reply reply = gate_.Lend(*message);
+  borrow_reply reply =
+      std::visit([&message](auto& gate) { return gate.Lend(*message); }, gate_);
   reply.generation = static_cast<std::int64_t>(config_->in_force());
   reply.share_epoch = static_cast<std::int64_t>(table_.epoch());
   http_response answer;
--- a/packages/node/src/node/entry/peer_exchange.h
+++ b/packages/node/src/node/entry/peer_exchange.h
@@ -9,12 +9,14 @@
 #include <random>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "cardamomyard/membership.h"
 #include "cardamomyard/wire.h"
 #include "src/node/cancelled_jobs.h"
 #include "src/node/config_follower.h"
+#include "src/node/entry/fixed_split_gate.h"
 #include "src/node/entry/rate_gate.h"
 #include "src/node/entry/share_keeper.h"
 #include "src/node/entry/suspect_registry.h"
@@ -62,6 +64,7 @@
   account_limiter& limiter() { return shares_.limiter(); }
 
  private:
+  std::variant<rate_gate, fixed_split_gate> MakeGate();
   boost::asio::awaitable<http_response> ServeDigest(
       const http_request& request);
   boost::asio::awaitable<http_response> ServeBorrow(
@@ -105,7 +108,7 @@
   contact_monitor monitor_;
   store_contact store_;
   table_keeper keeper_;
-  rate_gate gate_;
+  std::variant<rate_gate, fixed_split_gate> gate_;
   std::mt19937_64 random_;
   std::set<std::string> unknown_peers_;  // addresses without a known id
   std::set<std::string> listed_;
--- a/packages/node/src/node/internal_server.cc
+++ b/packages/node/src/node/internal_server.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "src/net/message_size.h"
+#include "src/node/control_traffic.h"
 #include "src/node/internal_api.h"
 
 namespace cardamomyard {
@@ -90,7 +92,10 @@
   }
   for (const auto& [prefix, handler] : control_) {
     if (request.target.starts_with(prefix)) {
+      control_traffic traffic(context_->metrics());
+      traffic.Received(MessageBytes(request));
       http_response answer = co_await RunControl(handler, std::move(request));
+      traffic.Sent(MessageBytes(answer));
       co_await exchange.Send(std::move(answer));
       co_return;
     }
--- a/packages/node/src/node/settings.cc
+++ b/packages/node/src/node/settings.cc
@@ -56,6 +56,9 @@
      "how long evidence of contact holds, 500 to 60000", flag_role::any},
     {"drain-timeout-ms", "60000",
      "longest wait for running requests at a planned stop", flag_role::any},
+    {"policy", "adaptive",
+     "adaptive, or naive: the baseline of measurements, not for production",
+     flag_role::any},
     {"listen", "127.0.0.1:0", "IP:PORT for callers and operators",
      flag_role::entry},
     {"tls-cert", "", "PEM certificate for callers", flag_role::entry},
@@ -240,6 +243,9 @@
                                            {"error", log_level::error}});
   common.format = flags.OneOf<log_format>(
       "log-format", {{"text", log_format::text}, {"json", log_format::json}});
+  common.policy = flags.OneOf<policy_kind>(
+      "policy",
+      {{"adaptive", policy_kind::adaptive}, {"naive", policy_kind::naive}});
   common.internal_tls = flags.Tls("internal-", true);
   common.contact_window = flags.Milliseconds("contact-window-ms", 500, 60'000);
   common.drain_timeout = flags.Milliseconds("drain-timeout-ms", 0, 3'600'000);
--- a/packages/node/src/node/settings.h
+++ b/packages/node/src/node/settings.h
@@ -16,6 +16,11 @@
 
 enum class backend_kind { engine, service };
 
+/// How requests are routed, admitted and limited. `naive` is the baseline of
+/// measurements (docs/OPERATIONS.md) and breaks rule 3: round robin, first
+/// come first served, a fixed split of each rate.
+enum class policy_kind { adaptive, naive };
+
 /// \brief Settings that every role has.
 struct common_settings {
   std::string id;
@@ -34,6 +39,7 @@
   std::string trace_file;
   log_level level = log_level::info;
   log_format format = log_format::text;
+  policy_kind policy = policy_kind::adaptive;
   std::optional<tls_files> internal_tls;
   /// How long evidence of contact holds (W of docs/design.md).
   std::chrono::milliseconds contact_window{5000};
--- a/packages/node/src/node/sidecar/admission_gate.cc
+++ b/packages/node/src/node/sidecar/admission_gate.cc
@@ -26,9 +26,8 @@
 slot::slot(slot&& other) noexcept
     : gate_(std::exchange(other.gate_, nullptr)), id_(other.id_) {}
 
-admission_gate::admission_gate(admission_controller::options options,
-                               const clock& time)
-    : clock_(&time), controller_(options) {}
+admission_gate::admission_gate(admission_policy policy, const clock& time)
+    : clock_(&time), policy_(std::move(policy)) {}
 
 admission_gate::~admission_gate() = default;
 
@@ -41,10 +40,16 @@
     waiters_.emplace(id, self);
     const time_point now = clock_->Now();
     if (request.isolated) {
-      Apply(controller_.BeginIsolation(id, now));
+      Apply(std::visit(
+          [&](auto& policy) { return policy.BeginIsolation(id, now); },
+          policy_));
     } else {
-      const online_decision decision = controller_.SubmitOnline(
-          id, request.account, request.weight, request.deadline, now);
+      const online_decision decision = std::visit(
+          [&](auto& policy) {
+            return policy.SubmitOnline(id, request.account, request.weight,
+                                       request.deadline, now);
+          },
+          policy_);
       if (const auto* preempting = std::get_if<start_and_preempt>(&decision)) {
         Preempt(preempting->batch_id);
         Resolve(id, {});
@@ -70,7 +75,9 @@
     const std::lock_guard lock(mutex_);
     if (!self->answer && clock_->Now() >= request.deadline) {
       // An isolated request that did not start in time leaves the queue here.
-      Apply(controller_.Cancel(id, clock_->Now()));
+      Apply(std::visit(
+          [&](auto& policy) { return policy.Cancel(id, clock_->Now()); },
+          policy_));
       Resolve(id, Fail(error::Make(error_kind::timeout,
                                    "no slot before the deadline")
                            .WithOutcome(outcome::not_run)));
@@ -85,7 +92,9 @@
 std::optional<slot> admission_gate::OfferBatch(std::function<void()> preempt) {
   const std::lock_guard lock(mutex_);
   const request_id id = next_id_++;
-  if (!controller_.OfferBatch(id, clock_->Now())) {
+  if (!std::visit(
+          [&](auto& policy) { return policy.OfferBatch(id, clock_->Now()); },
+          policy_)) {
     return std::nullopt;
   }
   batch_.emplace(id, std::move(preempt));
@@ -94,39 +103,50 @@
 
 void admission_gate::ObserveStep(duration step_time, int running) {
   const std::lock_guard lock(mutex_);
-  Apply(controller_.ObserveStep(step_time, running, clock_->Now()));
+  Apply(std::visit(
+      [&](auto& policy) {
+        return policy.ObserveStep(step_time, running, clock_->Now());
+      },
+      policy_));
 }
 
 void admission_gate::SetBatchWeight(double weight) {
   const std::lock_guard lock(mutex_);
-  controller_.SetBatchWeight(weight);
+  std::visit([&](auto& policy) { return policy.SetBatchWeight(weight); },
+             policy_);
 }
 
 void admission_gate::BeginDrain() {
   const std::lock_guard lock(mutex_);
-  Apply(controller_.BeginDrain(clock_->Now()));
+  Apply(std::visit(
+      [&](auto& policy) { return policy.BeginDrain(clock_->Now()); }, policy_));
 }
 
 gate_report admission_gate::Report() const {
   const std::lock_guard lock(mutex_);
-  return {controller_.free_online_slots(),
-          static_cast<int>(controller_.queue_length()),
-          controller_.online_running(),
-          controller_.batch_running(),
-          controller_.capacity(),
-          controller_.drained()};
+  return std::visit(
+      [](const auto& policy) {
+        return gate_report{
+            policy.free_online_slots(), static_cast<int>(policy.queue_length()),
+            policy.online_running(),    policy.batch_running(),
+            policy.capacity(),          policy.drained()};
+      },
+      policy_);
 }
 
 void admission_gate::Finish(request_id id) {
   const std::lock_guard lock(mutex_);
   batch_.erase(id);
   // A preempted batch item is unknown to the controller, which ignores it.
-  Apply(controller_.Finished(id, clock_->Now()));
+  Apply(std::visit(
+      [&](auto& policy) { return policy.Finished(id, clock_->Now()); },
+      policy_));
 }
 
 void admission_gate::ExpireQueued() {
   const std::lock_guard lock(mutex_);
-  Apply(controller_.Tick(clock_->Now()));
+  Apply(std::visit([&](auto& policy) { return policy.Tick(clock_->Now()); },
+                   policy_));
 }
 
 void admission_gate::Apply(const admission_events& events) {
--- a/packages/node/src/node/sidecar/admission_gate.h
+++ b/packages/node/src/node/sidecar/admission_gate.h
@@ -53,11 +53,11 @@
   request_id id_;
 };
 
-/// \brief Makes the decisions of an admission_controller for coroutines on
+/// \brief Makes the decisions of an admission_policy for coroutines on
 /// several threads.
 class admission_gate {
  public:
-  admission_gate(admission_controller::options options, const clock& time);
+  admission_gate(admission_policy policy, const clock& time);
   ~admission_gate();
   admission_gate(const admission_gate&) = delete;
   admission_gate& operator=(const admission_gate&) = delete;
@@ -87,7 +87,7 @@
 
   const clock* clock_;
   mutable std::mutex mutex_;
-  admission_controller controller_;
+  admission_policy policy_;
   request_id next_id_ = 1;
   std::unordered_map<request_id, std::shared_ptr<waiter>> waiters_;
   std::unordered_map<request_id, std::function<void()>> batch_;
--- a/packages/node/src/node/sidecar/sidecar.cc
+++ b/packages/node/src/node/sidecar/sidecar.cc
@@ -30,14 +30,16 @@
 // Values of heartbeat::state.
 enum class reported_state { starting, serving, draining, down };
 
-admission_controller::options AdmissionOptions(
-    const sidecar_settings& settings) {
+admission_policy MakePolicy(const sidecar_settings& settings) {
+  if (settings.common.policy == policy_kind::naive) {
+    return first_come_admission(settings.slots);
+  }
   admission_controller::options options;
   options.capacity.initial = settings.slots;
   if (settings.kind == backend_kind::service) {
     options.capacity.max = settings.slots;
   }
-  return options;
+  return admission_controller(options);
 }
 
 }  // namespace
@@ -48,7 +50,7 @@
       context_(std::move(context)),
       config_(*context_),
       table_(*context_),
-      gate_(AdmissionOptions(settings_), context_->time()),
+      gate_(MakePolicy(settings_), context_->time()),
       monitor_(*context_, settings_, gate_),
       handler_(*context_,
                settings_,
--- a/packages/store/src/store/store_client.cc
+++ b/packages/store/src/store/store_client.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include "src/net/message_size.h"
+
 namespace cardamomyard {
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -115,12 +117,19 @@
   metrics_
       ->Counter("cardamomyard_store_calls_total", {{"method", request.method}})
       .Add();
+  const auto count_bytes = [this](const char* direction, std::size_t bytes) {
+    metrics_
+        ->Counter("cardamomyard_store_bytes_total", {{"direction", direction}})
+        .Add(static_cast<std::int64_t>(bytes));
+  };
+  count_bytes("sent", MessageBytes(request));
   result<http_response> answer =
       co_await http_->Fetch(options_.address, std::move(request), options);
   if (!answer) {
     metrics_->Counter("cardamomyard_store_failures_total").Add();
     co_return Fail(Unavailable(answer.error().message(), answer.error().ran()));
   }
+  count_bytes("received", MessageBytes(*answer));
   if (answer->status >= 500 || answer->status == kStatusTooMany) {
     metrics_->Counter("cardamomyard_store_failures_total").Add();
     co_return Fail(Unavailable("status " + std::to_string(answer->status),
--- a/tools/loadgen/call_runner.cc
+++ b/tools/loadgen/call_runner.cc
@@ -104,6 +104,7 @@
     co_return record;
   }
   record.status = (*call)->status();
+  record.head_ms = MsSince(started, time.Now());
   record.retry_after = (*call)->headers().Get("Retry-After").has_value();
   const std::string type = (*call)->headers().Get("Content-Type").value_or("");
   if (type.starts_with("text/event-stream")) {
--- a/tools/loadgen/load_run.cc
+++ b/tools/loadgen/load_run.cc
@@ -40,8 +40,10 @@
   // completions, which have no side effect.
   options.reuse_connection = caller.path.starts_with("/v1/");
   http_request request = MakeRequest(caller, state.profile.seed, index);
-  const call_record record = co_await RunCall(state.client, std::move(target),
-                                              std::move(request), options);
+  const std::chrono::duration<double> sent = state.time.Now() - state.started;
+  call_record record = co_await RunCall(state.client, std::move(target),
+                                        std::move(request), options);
+  record.sent_s = sent.count();
   records.Add(record);
   --state.in_flight;
 }
--- a/tools/loadgen/recorder.cc
+++ b/tools/loadgen/recorder.cc
@@ -18,6 +18,9 @@
 void recorder::Add(const call_record& record) {
   const std::lock_guard lock(mutex_);
   ++summary_.statuses[record.status];
+  summary_.samples.push_back({record.sent_s,
+                              record.sent_s + record.head_ms / 1000,
+                              record.status, record.complete, record.outcome});
   summary_.tokens += record.tokens;
   summary_.retry_after += record.retry_after ? 1 : 0;
   if (record.complete) {
--- a/tools/loadgen/recorder.h
+++ b/tools/loadgen/recorder.h
@@ -10,9 +10,21 @@
 
 namespace cardamomyard::loadgen {
 
+/// \brief When one request was sent and answered, in seconds from the start of
+/// the run.
+struct call_sample {
+  double sent_s = 0;
+  double answered_s = 0;  ///< When the head of the answer came.
+  int status = 0;         ///< 0 when no answer came.
+  bool complete = false;
+  std::string outcome;  ///< Outcome of a failed request.
+};
+
 /// \brief What became of one request.
 struct call_record {
-  int status = 0;  ///< 0 when no answer came.
+  double sent_s = 0;
+  double head_ms = 0;  ///< From sending to the head of the answer.
+  int status = 0;      ///< 0 when no answer came.
   bool complete = false;
   std::optional<double> first_token_ms;
   std::vector<double> gaps_ms;
@@ -36,6 +48,7 @@
   std::vector<double> first_token_ms;  ///< Sorted, as the two below.
   std::vector<double> gaps_ms;
   std::vector<double> total_ms;
+  std::vector<call_sample> samples;  ///< In the order of their ends.
 };
 
 /// \brief Collects records of one caller from all threads.
