--- a/tools/measure_program/customer_run.h
+++ b/tools/measure_program/customer_run.h
@@ -33,10 +33,13 @@
   /// Fills in what the processes used since BeginIdle.
   void EndIdle(policy_figures& figures);
 
-  /// \brief Measures online load alone, batch work alone when \p remainder is
-  /// 0, and both together.
-  /// \param remainder  tokens/s of batch work alone, of an earlier run.
-  policy_figures Measure(double seconds, double batch_alone);
+  /// Waits until buckets that started full have their tokens back.
+  void WaitToFill() const;
+
+  /// \brief Measures online load alone, batch work alone if \p alone, and both
+  /// together.
+  void Measure(double seconds, bool alone, policy_figures& figures);
+  /// Tokens/s of batch work alone.
   double batch_alone() const { return batch_alone_; }
 
   /// Sends the load of all accounts.
@@ -69,6 +72,10 @@
   double wrongly_refused_ = 0;
 };
 
+/// \brief Sets the remainder and the share of batch work: what the engines
+/// generate with batch work alone, less the tokens of the online requests.
+void SetShare(double batch_alone, policy_figures& figures);
+
 }  // namespace cardamomyard::measure
 
 #endif  // CARDAMOMYARD_TOOLS_MEASURE_PROGRAM_CUSTOMER_RUN_H_
--- a/tools/measure_program/report.cc
+++ b/tools/measure_program/report.cc
@@ -27,6 +27,7 @@
     {"p99 first token alone, ms", &policy_figures::p99_alone_ms},
     {"p99 first token + batch, ms", &policy_figures::p99_with_batch_ms},
     {"batch tokens/s", &policy_figures::batch_tokens_per_s},
+    {"online tokens/s", &policy_figures::online_tokens_per_s},
     {"remainder tokens/s", &policy_figures::remainder_tokens_per_s},
     {"entry host VmRSS, MB", &policy_figures::entry_mb},
     {"sidecar VmRSS, MB", &policy_figures::sidecar_mb},
--- a/tools/measure_program/report.h
+++ b/tools/measure_program/report.h
@@ -15,6 +15,7 @@
   double p99_with_batch_ms = 0;
   double online_p99_ratio = 0;
   double batch_tokens_per_s = 0;
+  double online_tokens_per_s = 0;
   double remainder_tokens_per_s = 0;
   double batch_share = 0;
   double worst_account = 0;
