Bring engines to the wanted state by fenced orders

Cause: nothing sent load orders to engines (docs/design.md 8.5), and some engines take orders with old fencing numbers.

The sidecar takes the lease engine/<sidecar id> and a slot of weights/slots before each order. A check just before the bytes are written (call_options::may_send) covers a pause after the lease was looked at. Ruled out: renewing the lease all the time, as each of 3,400 sidecars would write to the object API without an order to send; the lease is renewed only while an order is due.

--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -279,6 +279,11 @@
     message.keep_alive(options.reuse_connection);
     message.body() = request.body;
     message.prepare_payload();
+    if (options.may_send != nullptr && !(*options.may_send)()) {
+      co_return Fail(
+          error::Make(error_kind::not_ready, "the call may no longer be sent")
+              .WithOutcome(outcome::not_run));
+    }
     link->lowest().expires_after(options.head_timeout);
     auto [write_code, written] = co_await std::visit(
         [&message](auto& stream) {
--- a/packages/net/src/net/http_client.h
+++ b/packages/net/src/net/http_client.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +27,9 @@
   /// closed, and then the request is sent a second time on a new one; set it
   /// only for requests that may be sent twice.
   bool reuse_connection = false;
+  /// Asked just before the first byte is written; false ends the call with
+  /// `not_run`. It must outlive the call. Null allows every call.
+  const std::function<bool()>* may_send = nullptr;
 };
 
 /// \brief An answer whose body is read piece by piece.
--- a/packages/node/src/node/sidecar/backend_monitor.cc
+++ b/packages/node/src/node/sidecar/backend_monitor.cc
@@ -28,6 +28,7 @@
     if (answers && !alive_.exchange(true)) {
       kLog.Info("Backend server answers.",
                 {{"address", settings_->backend.ToString()}});
+      ++runs_;
     } else if (!answers && alive_) {
       RecordDeath();
     }
--- a/packages/node/src/node/sidecar/backend_monitor.h
+++ b/packages/node/src/node/sidecar/backend_monitor.h
@@ -28,6 +28,9 @@
 
   /// \returns whether the backend server answers.
   bool alive() const { return alive_; }
+  /// \returns the number of the present run of the backend server as this
+  /// process has seen them; 0 while it does not answer.
+  std::uint64_t run() const { return alive_ ? runs_.load() : 0; }
   duration step_time() const { return duration(step_time_.load()); }
 
   /// Registers a request that is sent to the backend server.
@@ -64,6 +67,7 @@
   const sidecar_settings* settings_;
   admission_gate* gate_;
   std::atomic<bool> alive_{false};
+  std::atomic<std::uint64_t> runs_{0};
   std::atomic<duration::rep> step_time_{0};
   std::function<void()> on_death_;
   mutable std::mutex mutex_;
--- /dev/null
+++ b/packages/node/src/node/sidecar/engine_orders.h
@@ -0,0 +1,102 @@
+#ifndef CARDAMOMYARD_NODE_SIDECAR_ENGINE_ORDERS_H_
+#define CARDAMOMYARD_NODE_SIDECAR_ENGINE_ORDERS_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cardamomyard/admission.h"
+#include "cardamomyard/config.h"
+#include "cardamomyard/store.h"
+#include "cardamomyard/telemetry.h"
+
+namespace cardamomyard {
+
+/// \brief One thing that the engine must have loaded.
+struct load_order {
+  std::string order;  ///< `load_model` or `load_adapter`.
+  std::string name;
+  std::string version;
+
+  friend bool operator==(const load_order&, const load_order&) = default;
+};
+
+/// \returns what an engine of \p model must have loaded, in the order of
+/// loading. Adapters have no versions of their own; they carry the model's,
+/// since a newly loaded model has none of them.
+std::vector<load_order> WantedLoads(const model_config& model);
+
+/// \brief What engine_orders uses of its sidecar.
+struct engine_order_parts {
+  store_client* store = nullptr;
+  http_client* http = nullptr;
+  const clock* time = nullptr;
+  metrics_registry* metrics = nullptr;
+  host_address engine = host_address::Make("127.0.0.1", 0);
+  /// Names the lease object; equal in every process that orders this engine.
+  std::string backend_id;
+  /// \returns what must be loaded by the configuration in force.
+  std::function<std::vector<load_order>()> wanted;
+  /// \returns a number that differs for each run of the engine, and 0 while it
+  /// does not answer. A restarted engine has lost what was loaded.
+  std::function<std::uint64_t()> engine_run;
+};
+
+/// \brief Time limits of orders and bound of loads.
+struct engine_order_options {
+  /// Equal in all processes. \sa order_guard
+  std::chrono::milliseconds lease{60'000};
+  std::chrono::milliseconds margin{2'000};
+  /// Longest time of one order; the connection closes then.
+  std::chrono::milliseconds order_time{30'000};
+  /// Loads that run at once over the fleet.
+  std::size_t max_loads = 4;
+  std::chrono::milliseconds poll{250};
+  /// Between two tries; it doubles up to max_retry. With 3,400 sidecars that
+  /// wait for a slot, 20 s mean about 230 reads/s of the object API.
+  std::chrono::milliseconds first_retry{500};
+  std::chrono::milliseconds max_retry{20'000};
+};
+
+/// \brief Brings the engine to the wanted state by orders that carry the
+/// fencing number of the lease `engine/<backend id>` (docs/design.md 8.5).
+///
+/// The lease is renewed only while there is something to order: renewing it
+/// all the time from 3,400 sidecars would exceed the write budget of the object
+/// API. The engine goes on serving what it has meanwhile.
+class engine_orders {
+ public:
+  engine_orders(engine_order_parts parts, engine_order_options options);
+
+  /// Runs until the process stops, on the control thread.
+  boost::asio::awaitable<void> Run();
+  /// Sends the next order that is due, if any. \returns whether nothing failed.
+  boost::asio::awaitable<bool> Step();
+
+ private:
+  std::optional<load_order> NextLoad();
+  /// Takes or renews the lease. \returns whether an order may be sent.
+  boost::asio::awaitable<bool> HoldLease();
+  boost::asio::awaitable<result<void>> TakeSlot();
+  boost::asio::awaitable<void> ReleaseSlot();
+  boost::asio::awaitable<result<void>> Send(load_order load);
+  boost::asio::awaitable<bool> ReadLease();
+  bool MaySend() const;
+  void Count(const std::string& outcome);
+
+  engine_order_parts parts_;
+  engine_order_options options_;
+  std::string holder_;
+  order_guard guard_;
+  std::optional<stored_object> lease_;  // As last read.
+  std::vector<load_order> loaded_;
+  std::uint64_t loaded_run_ = 0;  // The engine's run that loaded them.
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_NODE_SIDECAR_ENGINE_ORDERS_H_
--- a/packages/node/src/node/sidecar/sidecar.cc
+++ b/packages/node/src/node/sidecar/sidecar.cc
@@ -62,6 +62,10 @@
           [this](const host_address& from, const heartbeat_reply& reply) {
             OnReply(from, reply);
           }) {
+  if (settings_.kind == backend_kind::engine) {
+    orders_ =
+        std::make_unique<engine_orders>(OrderParts(), engine_order_options{});
+  }
   if (settings_.run_batch) {
     batch_parts parts;
     parts.context = context_.get();
@@ -122,6 +126,9 @@
   asio::co_spawn(context_->control(), FollowStore(), asio::detached);
   asio::co_spawn(context_->control(), monitor_.Run(), asio::detached);
   asio::co_spawn(context_->control(), heartbeats_.Run(), asio::detached);
+  if (orders_) {
+    asio::co_spawn(context_->control(), orders_->Run(), asio::detached);
+  }
   if (batch_) {
     batch_->Start();
   }
@@ -184,6 +191,26 @@
   return std::nullopt;
 }
 
+engine_order_parts sidecar::OrderParts() {
+  engine_order_parts parts;
+  parts.store = &context_->store();
+  parts.http = &context_->http();
+  parts.time = &context_->time();
+  parts.metrics = &context_->metrics();
+  parts.engine = settings_.backend;
+  parts.backend_id = settings_.common.id;
+  parts.wanted = [this]() -> std::vector<load_order> {
+    const auto view = config_.view();
+    const model_config* model =
+        view == nullptr || draining_
+            ? nullptr
+            : view->content().FindModel(settings_.deployment);
+    return model == nullptr ? std::vector<load_order>() : WantedLoads(*model);
+  };
+  parts.engine_run = [this] { return monitor_.run(); };
+  return parts;
+}
+
 heartbeat sidecar::Describe() const {
   const gate_report report = gate_.Report();
   const time_point now = context_->time().Now();
--- a/packages/node/src/node/sidecar/sidecar.h
+++ b/packages/node/src/node/sidecar/sidecar.h
@@ -14,6 +14,7 @@
 #include "src/node/sidecar/admission_gate.h"
 #include "src/node/sidecar/backend_monitor.h"
 #include "src/node/sidecar/batch_worker.h"
+#include "src/node/sidecar/engine_orders.h"
 #include "src/node/sidecar/heartbeat_sender.h"
 #include "src/node/sidecar/online_handler.h"
 #include "src/node/store_contact.h"
@@ -37,6 +38,7 @@
   boost::asio::awaitable<void> Refresh();
   /// \returns why no new work is taken, or nothing.
   std::optional<error> Refusal() const;
+  engine_order_parts OrderParts();
   heartbeat Describe() const;
   void OnReply(const host_address& from, const heartbeat_reply& reply);
   boost::asio::awaitable<void> CatchUp(host_address peer,
@@ -58,7 +60,8 @@
   online_handler handler_;
   internal_server server_;
   heartbeat_sender heartbeats_;
-  std::unique_ptr<batch_worker> batch_;  // Null without batch work.
+  std::unique_ptr<engine_orders> orders_;  // Null beside a plain service.
+  std::unique_ptr<batch_worker> batch_;    // Null without batch work.
   std::atomic<bool> draining_{false};
   std::atomic<duration::rep> refreshed_{0};
 };
