Let calls outlive their HTTP client, and answer when a handler throws

Cause: suspended calls used members of a destroyed http_client and put connections back into a pool that outlived its io_contexts. A handler's exception was dropped by asio::detached, so the caller saw only a closed connection.

A client's destructor closes its pool, and connections given back later are dropped; begun calls use no member of the client. The server answers internal, or cuts a stream that has begun.

Not run under a sanitizer. Not done: logging and restarting control loops that throw; asio::detached still ends them silently.

--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -71,14 +71,27 @@
   void Give(const key& where, connection_ptr link) {
     link->lowest().expires_never();
     const std::lock_guard lock(mutex_);
+    if (closed_) {
+      return;
+    }
     std::vector<connection_ptr>& idle = idle_[where];
     if (idle.size() < kMaxIdlePerServer) {
       idle.push_back(std::move(link));
     }
   }
 
+  /// Closes the idle connections and those that are given back later. A
+  /// suspended call may keep the pool until its io_context is destroyed, and a
+  /// connection must not outlive that.
+  void Close() {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    idle_.clear();
+  }
+
  private:
   std::mutex mutex_;
+  bool closed_ = false;
   std::map<key, std::vector<connection_ptr>> idle_;
 };
 
@@ -192,29 +205,38 @@
   explicit client_impl(std::shared_ptr<asio::ssl::context> tls)
       : tls_(std::move(tls)), pool_(std::make_shared<connection_pool>()) {}
 
+  // Idle connections belong to io_contexts, so the client must be destroyed
+  // before these. Calls that have begun may still be suspended then: after
+  // their start the coroutines use no member of the client.
+  ~client_impl() override { pool_->Close(); }
+  client_impl(const client_impl&) = delete;
+  client_impl& operator=(const client_impl&) = delete;
+
   asio::awaitable<result<std::unique_ptr<http_call>>> Open(
       host_address server,
       http_request request,
       call_options options) override {
+    const std::shared_ptr<connection_pool> pool = pool_;
+    const std::shared_ptr<asio::ssl::context> tls = tls_;
     const auto executor = co_await asio::this_coro::executor;
     const connection_pool::key where{
         &asio::query(executor, asio::execution::context), server};
     if (options.reuse_connection) {
-      if (connection_ptr kept = pool_->Take(where)) {
-        auto answer =
-            co_await Exchange(std::move(kept), server, request, options, where);
+      if (connection_ptr kept = pool->Take(where)) {
+        auto answer = co_await Exchange(std::move(kept), server, request,
+                                        options, pool, where);
         // The server may have closed the kept connection in the meantime.
         if (answer || answer.error().kind() == error_kind::timeout) {
           co_return answer;
         }
       }
     }
-    result<connection_ptr> link = co_await Connect(server, options);
+    result<connection_ptr> link = co_await Connect(server, options, tls);
     if (!link) {
       co_return Fail(link.error());
     }
     co_return co_await Exchange(std::move(*link), server, request, options,
-                                where);
+                                pool, where);
   }
 
   asio::awaitable<result<http_response>> Fetch(host_address server,
@@ -234,8 +256,10 @@
   }
 
  private:
-  asio::awaitable<result<connection_ptr>> Connect(const host_address& server,
-                                                  const call_options& options) {
+  static asio::awaitable<result<connection_ptr>> Connect(
+      const host_address& server,
+      const call_options& options,
+      const std::shared_ptr<asio::ssl::context>& tls) {
     const auto executor = co_await asio::this_coro::executor;
     boost::system::error_code bad_ip;
     const tcp::endpoint endpoint(asio::ip::make_address(server.ip(), bad_ip),
@@ -249,10 +273,10 @@
     }
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
-    if (tls_ == nullptr) {
+    if (tls == nullptr) {
       co_return std::make_unique<connection>(std::move(stream));
     }
-    tls_stream secure(std::move(stream), *tls_);
+    tls_stream secure(std::move(stream), *tls);
     auto [failed] = co_await secure.async_handshake(
         asio::ssl::stream_base::client, kUseResult);
     if (failed) {
@@ -262,11 +286,12 @@
     co_return std::make_unique<connection>(std::move(secure));
   }
 
-  asio::awaitable<result<std::unique_ptr<http_call>>> Exchange(
+  static asio::awaitable<result<std::unique_ptr<http_call>>> Exchange(
       connection_ptr link,
       const host_address& server,
       const http_request& request,
       const call_options& options,
+      const std::shared_ptr<connection_pool>& pool,
       const connection_pool::key& where) {
     http::request<http::string_body> message;
     message.method_string(request.method);
@@ -308,7 +333,7 @@
                                  outcome::may_have_run));
     }
     co_return std::make_unique<call_impl>(std::move(link), std::move(parser),
-                                          options, pool_, where);
+                                          options, pool, where);
   }
 
   std::shared_ptr<asio::ssl::context> tls_;
--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -326,7 +326,23 @@
   const count_scope active(state.active);
   exchange<Stream> current(stream, buffer, parser, state, remote_ip);
   lowest.expires_never();
-  co_await state.handler(current);
+  bool threw = false;
+  try {
+    co_await state.handler(current);
+  } catch (const std::exception&) {
+    threw = true;
+  }
+  if (threw) {
+    if (current.answer_started()) {
+      // The caller must see that the answer is cut.
+      current.Abort();
+      co_return false;
+    }
+    http_response failure = ErrorResponse(
+        error::Make(error_kind::internal, "the request failed unexpectedly"),
+        "");
+    co_await current.Send(std::move(failure));
+  }
   co_return current.keep_alive() && !state.draining;
 }
 
--- a/packages/net/test/http_test.cc
+++ b/packages/net/test/http_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
+#include <future>
+#include <stdexcept>
 
 #include "cardamomyard/net.h"
 
@@ -125,5 +127,50 @@
   EXPECT_EQ(answer->headers.Get("Connection"), "close");
 }
 
+// Guards against a call that uses its client after the client is gone.
+TEST_F(http_fixture, ClientMayEndWhileACallIsSuspended) {
+  std::promise<void> arrived;
+  std::promise<void> release;
+  Serve([&](http_exchange& exchange) -> asio::awaitable<void> {
+    arrived.set_value();
+    release.get_future().wait();
+    co_await exchange.Send(JsonResponse(200, "{}"));
+  });
+  call_options options;
+  options.reuse_connection = true;
+  // The handler blocks a thread of the server's pool.
+  thread_pool callers(1);
+  auto answer = asio::co_spawn(callers.At(0),
+                               client_->Fetch(server_->address(), {}, options),
+                               asio::use_future);
+  arrived.get_future().wait();
+  client_.reset();
+  release.set_value();
+  const result<http_response> got = answer.get();
+  ASSERT_TRUE(got) << got.error().message();
+  EXPECT_EQ(got->body, "{}");
+}
+
+// Guards against a handler's exception that closes the connection without an
+// answer, or that lets a cut stream look finished.
+TEST_F(http_fixture, ThrowingHandlerAnswersInternal) {
+  Serve([](http_exchange& exchange) -> asio::awaitable<void> {
+    if (exchange.request().target == "/stream") {
+      co_await exchange.StartStream(200, {});
+      co_await exchange.Write("half");
+    }
+    throw std::runtime_error("fault");
+  });
+  const auto whole = Fetch({});
+  ASSERT_TRUE(whole) << whole.error().message();
+  EXPECT_EQ(whole->status, 500);
+  EXPECT_NE(whole->body.find("\"internal\""), std::string::npos);
+  http_request streamed;
+  streamed.target = "/stream";
+  const auto cut = Fetch(streamed);
+  ASSERT_FALSE(cut);
+  EXPECT_EQ(cut.error().ran(), outcome::may_have_run);
+}
+
 }  // namespace
 }  // namespace cardamomyard
