--- a/test/harness/fleet.cc
+++ b/test/harness/fleet.cc
@@ -277,7 +277,8 @@
     if (result<void> launched = Launch(**member); !launched) {
       return launched;
     }
-    List(**member, "entry", "");
+    // The host list must not name a way around the relays.
+    List(**member, entry_addresses_[i], "entry", "");
     entries_.push_back(std::move(*member));
   }
   return {};
@@ -311,7 +312,7 @@
     }
     // Listed first, so that the entry hosts don't take it for a removed host.
     (*sidecar)->internal = *internal;
-    List(**sidecar, "sidecar", group.deployment);
+    List(**sidecar, *internal, "sidecar", group.deployment);
     if (result<void> launched = Launch(**sidecar); !launched) {
       return launched;
     }
@@ -322,10 +323,10 @@
 }
 
 void fleet::List(const fleet_member& member,
+                 const host_address& address,
                  const std::string& role,
                  const std::string& deployment) {
-  listed_[member.id] = {member.internal.ToString(), member.zone, role,
-                        deployment};
+  listed_[member.id] = {address.ToString(), member.zone, role, deployment};
   SetLeaving(member, false);
 }
 
--- a/test/harness/fleet.h
+++ b/test/harness/fleet.h
@@ -147,6 +147,7 @@
   result<void> Launch(fleet_member& member);
   result<void> WriteFirstConfiguration();
   void List(const fleet_member& member,
+            const host_address& address,
             const std::string& role,
             const std::string& deployment);
   std::string NextZone();
--- a/test/withdrawal_test.cc
+++ b/test/withdrawal_test.cc
@@ -24,6 +24,29 @@
   EXPECT_TRUE(WaitUntil([this] { return EngineStat("cancelled") >= 1; }));
 }
 
+TEST_F(FleetTest, Rule06_WithdrawalThroughOneHostStopsStreamsOnAnother) {
+  Start({.groups = {Engines(1, {"--step-ms", "20"})}});
+  std::vector<running_stream> streams;
+  for (int i = 0; i < 4; ++i) {
+    streams.push_back(
+        BeginStream(ChatBody("story " + std::to_string(i), 5000, true), i % 2));
+  }
+  const http_response withdrawn =
+      Send(JsonRequest("POST", "/admin/v1/keys/acme-1/withdraw", "",
+                       fleet_->admin_token()),
+           0);
+  const auto end = std::chrono::steady_clock::now() + kLimit;
+  ASSERT_EQ(withdrawn.status, 200) << withdrawn.body;
+  EXPECT_TRUE(WaitUntil(
+      [this] { return Chat(ChatBody("short"), 1).status == 401; }, kLimit));
+  for (running_stream& stream : streams) {
+    EXPECT_EQ(stream.answer.wait_until(end), std::future_status::ready);
+    const stream_answer answer = stream.answer.get();
+    EXPECT_FALSE(answer.whole);
+    EXPECT_TRUE(Contains(answer.body, "key_withdrawn"));
+  }
+}
+
 TEST_F(FleetTest, Rule06_EntryHostCutOffAloneIsIsolated) {
   Start({.entry_hosts = 3, .groups = {Engines(1)}, .separable_entry = 0});
   ASSERT_EQ(Chat(ChatBody("a")).status, 200);
