Keep the capacity within what the engine runs at once

GET /load of the engine showed 64 running and 15 waiting: steps stayed at 31 ms, below the target of 40 ms, so the sidecar's capacity grew past the engine's limit of 64 sequences and online requests waited behind batch items in the engine's queue.

The capacity estimator now takes the reported waiting sequences and stays within the number that runs, with one try beyond it after 1000 steps.

--- a/packages/admission/src/admission/admission_controller.cc
+++ b/packages/admission/src/admission/admission_controller.cc
@@ -195,10 +195,11 @@
 
 admission_events admission_controller::ObserveStep(duration step_time,
                                                    int running,
-                                                   time_point now) {
+                                                   time_point now,
+                                                   int waiting) {
   admission_events events;
   if (!isolated_) {
-    capacity_.ObserveStep(step_time, running);
+    capacity_.ObserveStep(step_time, running, waiting);
     steps_ = std::min(steps_ + 1, 4 * options_.capacity.max);
   }
   while (FreeSlots() < 0 && !batch_.empty()) {
--- a/packages/admission/src/admission/admission_controller.h
+++ b/packages/admission/src/admission/admission_controller.h
@@ -51,7 +51,10 @@
   admission_events Tick(time_point now);
   /// \brief Learns from one step of the engine. When the capacity has shrunk
   /// below what runs, batch items are preempted.
-  admission_events ObserveStep(duration step_time, int running, time_point now);
+  admission_events ObserveStep(duration step_time,
+                               int running,
+                               time_point now,
+                               int waiting = 0);
 
   /// \brief Prepares to run \p id alone: refuses new and queued requests,
   /// preempts batch items and waits for the running online requests. The event
--- a/packages/admission/src/admission/capacity_estimator.cc
+++ b/packages/admission/src/admission/capacity_estimator.cc
@@ -14,16 +14,21 @@
 constexpr double kMinWeight = 8;
 // A step of the line would follow noise of single steps.
 constexpr double kLineGain = 0.1;
+// An engine may run more sequences again, for instance after long prompts. One
+// sequence is tried beyond the ceiling after 1000 steps.
+constexpr double kCeilingRecovery = 0.001;
 
 }  // namespace
 
 capacity_estimator::capacity_estimator(options chosen)
-    : options_(chosen), capacity_(chosen.initial) {
+    : options_(chosen), capacity_(chosen.initial), ceiling_(chosen.max) {
   assert(chosen.initial >= 1 && chosen.max >= chosen.initial &&
          "capacity lies between 1 and its maximum");
 }
 
-void capacity_estimator::ObserveStep(duration step_time, int running) {
+void capacity_estimator::ObserveStep(duration step_time,
+                                     int running,
+                                     int waiting) {
   if (running <= 0) {
     return;
   }
@@ -51,7 +56,11 @@
     const double trusted = std::max(capacity_, highest_running_ * 1.25 + 1);
     capacity_ += kLineGain * (std::min(limit, trusted) - capacity_);
   }
-  capacity_ = std::clamp(capacity_, 1.0, static_cast<double>(options_.max));
+  // Online requests would wait in the engine's queue behind batch items.
+  ceiling_ = waiting > 0 ? running
+                         : std::min(ceiling_ + kCeilingRecovery,
+                                    static_cast<double>(options_.max));
+  capacity_ = std::clamp(capacity_, 1.0, ceiling_);
 }
 
 std::optional<double> capacity_estimator::Slowdown(int base,
--- a/packages/admission/src/admission/capacity_estimator.h
+++ b/packages/admission/src/admission/capacity_estimator.h
@@ -30,7 +30,9 @@
 
   /// \param step_time  duration of one step of the engine.
   /// \param running  sequences that took part in it; steps of none are ignored.
-  void ObserveStep(duration step_time, int running);
+  /// \param waiting  sequences that the engine holds back although it has them.
+  /// They show that \p running is the most that it runs at once.
+  void ObserveStep(duration step_time, int running, int waiting = 0);
   /// \returns the capacity, at least 1.
   int capacity() const { return static_cast<int>(capacity_); }
   /// \returns the step time with \p running sequences relative to that with
@@ -47,6 +49,8 @@
 
   options options_;
   double capacity_;
+  /// The most sequences that the engine was seen to run at once.
+  double ceiling_;
   std::optional<line> line_;
   // Exponentially weighted sums of the least squares fit.
   double weight_ = 0;
--- a/packages/admission/test/priority_test.cc
+++ b/packages/admission/test/priority_test.cc
@@ -293,5 +293,24 @@
   }
 }
 
+// Guards against online requests that wait in the engine's own queue: its steps
+// stay short although it runs no more than 64 sequences at once.
+TEST(CapacityTest, Rule03_StaysWithinWhatTheEngineRunsAtOnce) {
+  constexpr int kMostRunning = 64;
+  capacity_estimator estimator;
+  int over = 0;
+  for (int i = 0; i < 4000; ++i) {
+    const int sent = estimator.capacity();
+    over += i > 1000 && sent > kMostRunning ? 1 : 0;
+    const int running = std::min(sent, kMostRunning);
+    estimator.ObserveStep(
+        std::chrono::milliseconds(30) + std::chrono::microseconds(20) * running,
+        running, sent - running);
+  }
+  EXPECT_GE(estimator.capacity(), kMostRunning);
+  // One try for each sequence beyond the ceiling.
+  EXPECT_LE(over, 4);
+}
+
 }  // namespace
 }  // namespace cardamomyard
--- a/packages/node/src/node/sidecar/admission_gate.cc
+++ b/packages/node/src/node/sidecar/admission_gate.cc
@@ -92,9 +92,9 @@
   return std::make_optional<slot>(*this, id);
 }
 
-void admission_gate::ObserveStep(duration step_time, int running) {
+void admission_gate::ObserveStep(duration step_time, int running, int waiting) {
   const std::lock_guard lock(mutex_);
-  Apply(controller_.ObserveStep(step_time, running, clock_->Now()));
+  Apply(controller_.ObserveStep(step_time, running, clock_->Now(), waiting));
 }
 
 void admission_gate::SetBatchWeight(double weight) {
--- a/packages/node/src/node/sidecar/admission_gate.h
+++ b/packages/node/src/node/sidecar/admission_gate.h
@@ -70,7 +70,7 @@
   /// \returns a slot for a batch item, or nothing while online work needs them.
   std::optional<slot> OfferBatch(std::function<void()> preempt);
 
-  void ObserveStep(duration step_time, int running);
+  void ObserveStep(duration step_time, int running, int waiting);
   void SetBatchWeight(double weight);
   void BeginDrain();
   gate_report Report() const;
--- a/packages/node/src/node/sidecar/backend_monitor.cc
+++ b/packages/node/src/node/sidecar/backend_monitor.cc
@@ -72,8 +72,12 @@
   const auto step_time = std::chrono::duration_cast<duration>(
       std::chrono::duration<double, std::milli>(step->to_number<double>()));
   step_time_ = step_time.count();
+  const json::value* waiting = load.as_object().if_contains("waiting");
+  const int held_back = waiting != nullptr && waiting->is_number()
+                            ? waiting->to_number<int>()
+                            : 0;
   if (count > 0) {
-    gate_->ObserveStep(step_time, count);
+    gate_->ObserveStep(step_time, count, held_back);
   }
 }
 
