Measure the first token only when the engine is full of batch items

The test waited for 16 started items only; it now waits for twice the 64 that the engine runs at once.

--- a/test/head_of_line_test.cc
+++ b/test/head_of_line_test.cc
@@ -44,7 +44,8 @@
   Start({.groups = {Engines(1, {"--step-ms", "30", "--max-batch", "64"})}});
   const double alone = FirstTokenP95("alone ", 60);
   const std::string job = Submit(BatchLines(2000, 100));
-  ASSERT_TRUE(WaitUntil([this] { return EngineStat("started") > 60 + 16; },
+  // The engine runs at most 64 items at once, so it is full by then.
+  ASSERT_TRUE(WaitUntil([this] { return EngineStat("started") > 60 + 128; },
                         std::chrono::seconds(20)));
   const double beside = FirstTokenP95("beside ", 60);
   EXPECT_EQ(Status(job), "in_progress");
