--- a/packages/admission/src/admission/first_come_admission.h
+++ b/packages/admission/src/admission/first_come_admission.h
@@ -30,7 +30,8 @@
   admission_events Tick(time_point /*now*/) { return {}; }
   admission_events ObserveStep(duration /*step_time*/,
                                int /*running*/,
-                               time_point /*now*/) {
+                               time_point /*now*/,
+                               int /*waiting*/ = 0) {
     return {};
   }
   admission_events BeginIsolation(request_id id, time_point now);
--- a/packages/node/src/node/sidecar/admission_gate.cc
+++ b/packages/node/src/node/sidecar/admission_gate.cc
@@ -101,11 +101,11 @@
   return std::make_optional<slot>(*this, id);
 }
 
-void admission_gate::ObserveStep(duration step_time, int running) {
+void admission_gate::ObserveStep(duration step_time, int running, int waiting) {
   const std::lock_guard lock(mutex_);
   Apply(std::visit(
       [&](auto& policy) {
-        return policy.ObserveStep(step_time, running, clock_->Now());
+        return policy.ObserveStep(step_time, running, clock_->Now(), waiting);
       },
       policy_));
 }
