Measure the remainder at batch weight 1

A request that waits for its token now takes it in advance in the exact bucket: it was counted as if it had left its token, so later refusals seemed wrongful.

--- a/tools/measure_program/admission_figures.cc
+++ b/tools/measure_program/admission_figures.cc
@@ -55,17 +55,21 @@
             });
   admission_figures figures;
   token_bucket exact(limits, limits.burst, At(0));
-  token_bucket actual(limits, limits.burst, At(0));
+  // The bucket of the requests that were admitted. A request may wait for its
+  // token, so one that was sent too early takes it in advance.
+  double left = limits.burst;
+  double last = 0;
   for (const call_sample& sample : samples) {
     const time_point now = At(sample.sent_s);
     figures.fair_share += exact.Take(1, now) ? 1 : 0;
     figures.served += sample.complete ? 1 : 0;
-    const bool inside = actual.Available(now) >= 1;
+    left = std::min(limits.burst,
+                    left + limits.rate_per_second * (sample.sent_s - last));
+    last = sample.sent_s;
+    const bool inside = left >= 1;
     figures.inside_rate += inside ? 1 : 0;
     figures.wrongly_refused += inside && Refused(sample) ? 1 : 0;
-    if (inside && Admitted(sample)) {
-      actual.Take(1, now);
-    }
+    left -= Admitted(sample) ? 1 : 0;
   }
   figures.overrun = Overrun(std::move(samples), limits);
   return figures;
--- a/tools/measure_program/customer.cc
+++ b/tools/measure_program/customer.cc
@@ -26,24 +26,6 @@
   return size.quick ? 3 : who.engines;
 }
 
-std::string ConfigurationOf(const customer& who, const run_size& size) {
-  std::string text =
-      "[balance]\nbatch_weight = " + std::to_string(who.batch_weight) +
-      "\n[model." + who.model +
-      "]\ncontext_tokens = 8192\nversions = [\"1\"]\nadapters = []\n"
-      "engine_checks_fencing = true\n[service." +
-      who.service + "]\ntimeout_ms = 30000\n[route." + who.service +
-      "]\npath_prefix = \"/" + who.service + "\"\nservice = \"" + who.service +
-      "\"\nrepeatable = false\nopen = false\n";
-  for (const auto& [name, limits] : AccountsOf(who, size)) {
-    text += "[account." + name +
-            "]\nrate_per_second = " + std::to_string(limits.rate_per_second) +
-            "\nburst = " + std::to_string(static_cast<int>(limits.burst)) +
-            "\nweight = 1.0\nmodels = []\n";
-  }
-  return text;
-}
-
 }  // namespace
 
 std::vector<customer> AllCustomers() {
@@ -73,6 +55,26 @@
   return {true, 3, 4, 2.5};
 }
 
+std::string ConfigurationOf(const customer& who,
+                            const run_size& size,
+                            double batch_weight) {
+  std::string text =
+      "[balance]\nbatch_weight = " + std::to_string(batch_weight) +
+      "\n[model." + who.model +
+      "]\ncontext_tokens = 8192\nversions = [\"1\"]\nadapters = []\n"
+      "engine_checks_fencing = true\n[service." +
+      who.service + "]\ntimeout_ms = 30000\n[route." + who.service +
+      "]\npath_prefix = \"/" + who.service + "\"\nservice = \"" + who.service +
+      "\"\nrepeatable = false\nopen = false\n";
+  for (const auto& [name, limits] : AccountsOf(who, size)) {
+    text += "[account." + name +
+            "]\nrate_per_second = " + std::to_string(limits.rate_per_second) +
+            "\nburst = " + std::to_string(static_cast<int>(limits.burst)) +
+            "\nweight = 1.0\nmodels = []\n";
+  }
+  return text;
+}
+
 harness::fleet_options FleetOf(const customer& who,
                                const run_size& size,
                                const std::string& policy) {
@@ -94,7 +96,7 @@
   harness::fleet_options options;
   options.entry_hosts = size.entry_hosts;
   options.groups = {engines, services};
-  options.configuration = ConfigurationOf(who, size);
+  options.configuration = ConfigurationOf(who, size, who.batch_weight);
   options.zones = who.zones;
   options.entry_flags = policy_flags;
   return options;
--- a/tools/measure_program/customer.h
+++ b/tools/measure_program/customer.h
@@ -46,6 +46,11 @@
 /// Fits both customers and the baseline into 50 s.
 run_size QuickSize();
 
+/// \returns the text of the configuration with this `balance.batch_weight`.
+std::string ConfigurationOf(const customer& who,
+                            const run_size& size,
+                            double batch_weight);
+
 /// \brief A customer's fleet, scaled to the size.
 harness::fleet_options FleetOf(const customer& who,
                                const run_size& size,
--- a/tools/measure_program/customer_run.cc
+++ b/tools/measure_program/customer_run.cc
@@ -1,6 +1,7 @@
 #include "customer_run.h"
 
 #include <algorithm>
+#include <iostream>
 #include <map>
 #include <thread>
 
@@ -21,8 +22,9 @@
 // After a first start most homes have no tokens for the contact window and a
 // second, and then fill a bucket of two seconds.
 constexpr std::chrono::seconds kTokensReady{9};
-// Buckets of two seconds fill up, and batch work reaches its usual speed.
-constexpr std::chrono::milliseconds kSettle{2000};
+// Buckets fill up, a changed configuration is in force, and batch work reaches
+// its usual speed.
+constexpr std::chrono::milliseconds kSettle{1500};
 
 double Seconds(steady_clock::duration time) {
   return std::chrono::duration<double>(time).count();
@@ -54,6 +56,14 @@
   return loadgen::Percentile(all, 0.99);
 }
 
+/// \returns the callers that stay inside their rates and so wait for no token.
+std::vector<loadgen::caller_summary> InsideRate(
+    std::vector<loadgen::caller_summary> summaries) {
+  // The excessive account and the calls to the service are the last two.
+  summaries.resize(std::max<std::size_t>(summaries.size(), 2) - 2);
+  return summaries;
+}
+
 double Tokens(const std::vector<loadgen::caller_summary>& summaries) {
   double tokens = 0;
   for (const auto& summary : summaries) {
@@ -180,6 +190,17 @@
   return tokens;
 }
 
+void customer_run::SetBatchWeight(double weight) {
+  const auto folder =
+      ParseFolder({{"fleet.toml", ConfigurationOf(who_, size_, weight)}});
+  const auto written = fleet_->Change(
+      [&](const configuration& now) { return ApplyFolder(now, *folder); },
+      "batch weight");
+  if (!written) {
+    std::cerr << "measure: " << written.error().message() << "\n";
+  }
+}
+
 void customer_run::AddAdmission(
     const std::vector<loadgen::caller_summary>& summaries,
     policy_figures& figures) {
@@ -214,19 +235,27 @@
                            policy_figures& figures) {
   const auto alone = Load(seconds);
   figures.p99_alone_ms = P99(alone);
+  figures.p99_alone_inside_ms = P99(InsideRate(alone));
   AddAdmission(alone, figures);
 
   std::vector<std::string> accepted;
   const double before = EngineTokens();
-  SubmitJobs((batch_alone ? 2 : 1) * seconds + 2 * Seconds(kSettle), accepted);
+  SubmitJobs((batch_alone ? 2 : 1) * seconds + 3 * Seconds(kSettle), accepted);
   harness::WaitUntil([&] { return EngineTokens() > before; });
-  std::this_thread::sleep_for(kSettle);
-  if (batch_alone) {
+  if (!batch_alone) {
+    std::this_thread::sleep_for(kSettle);
+  } else {
+    // A low weight keeps batch work from filling the engines even when alone,
+    // and would so make the remainder too small.
+    SetBatchWeight(1);
+    std::this_thread::sleep_for(kSettle);
     const auto begin = steady_clock::now();
     const double tokens = EngineTokens();
     std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
     batch_alone_ =
         (EngineTokens() - tokens) / Seconds(steady_clock::now() - begin);
+    SetBatchWeight(who_.batch_weight);
+    std::this_thread::sleep_for(kSettle);
   }
 
   const auto begin = steady_clock::now();
@@ -237,6 +266,7 @@
   figures.online_tokens_per_s = Tokens(both) / length;
   figures.batch_tokens_per_s = all / length - figures.online_tokens_per_s;
   figures.p99_with_batch_ms = P99(both);
+  figures.p99_with_batch_inside_ms = P99(InsideRate(both));
   figures.online_p99_ratio =
       figures.p99_with_batch_ms / std::max(0.001, figures.p99_alone_ms);
   AddAdmission(both, figures);
--- a/tools/measure_program/customer_run.h
+++ b/tools/measure_program/customer_run.h
@@ -58,6 +58,8 @@
 
   std::vector<process_usage> Usage();
   double EngineTokens();
+  /// Changes `balance.batch_weight` in the running fleet.
+  void SetBatchWeight(double weight);
 
   customer who_;
   run_size size_;
@@ -73,7 +75,8 @@
 };
 
 /// \brief Sets the remainder and the share of batch work: what the engines
-/// generate with batch work alone, less the tokens of the online requests.
+/// generate with batch work alone at weight 1, less the tokens of the online
+/// requests.
 void SetShare(double batch_alone, policy_figures& figures);
 
 }  // namespace cardamomyard::measure
--- a/tools/measure_program/report.cc
+++ b/tools/measure_program/report.cc
@@ -26,6 +26,9 @@
 constexpr figure kDetails[] = {
     {"p99 first token alone, ms", &policy_figures::p99_alone_ms},
     {"p99 first token + batch, ms", &policy_figures::p99_with_batch_ms},
+    {"same, inside rate, alone, ms", &policy_figures::p99_alone_inside_ms},
+    {"same, inside rate + batch, ms",
+     &policy_figures::p99_with_batch_inside_ms},
     {"batch tokens/s", &policy_figures::batch_tokens_per_s},
     {"online tokens/s", &policy_figures::online_tokens_per_s},
     {"remainder tokens/s", &policy_figures::remainder_tokens_per_s},
--- a/tools/measure_program/report.h
+++ b/tools/measure_program/report.h
@@ -13,6 +13,8 @@
 struct policy_figures {
   double p99_alone_ms = 0;
   double p99_with_batch_ms = 0;
+  double p99_alone_inside_ms = 0;
+  double p99_with_batch_inside_ms = 0;
   double online_p99_ratio = 0;
   double batch_tokens_per_s = 0;
   double online_tokens_per_s = 0;
--- a/tools/measure_program/test/admission_figures_test.cc
+++ b/tools/measure_program/test/admission_figures_test.cc
@@ -35,6 +35,14 @@
   EXPECT_EQ(figures.served, 1U);
 }
 
+// Guards against tokens that a waiting request has taken being counted twice.
+TEST(AdmissionFigures, WaitingRequestTakesItsTokenInAdvance) {
+  const admission_figures figures = FiguresOf(
+      {Answered(0, 0), Answered(0.9, 1), Limited(1.5), Answered(2, 2)}, {1, 1});
+  EXPECT_EQ(figures.inside_rate, 2U);
+  EXPECT_EQ(figures.wrongly_refused, 0U);
+}
+
 // Guards against windows that start only with the run: the excess is late.
 TEST(AdmissionFigures, OverrunIsFoundInAnyWindow) {
   std::vector<call_sample> samples{Answered(0, 0)};
