End the process when a background task throws

Cause: boost::asio::detached drops exceptions, so a control loop that threw would end unnoticed (found by reading, not by a run). Ruled out: restarting the loop in place, which would hide the fault and keep state of unknown shape. Conclusion: the reason is logged and the process ends; a supervisor starts it again. The state charts are loaded where the server starts, so that parts can be built in tests without a folder: seven tests of the administration API crashed on an empty folder name.

--- a/packages/node/src/node/answer_relay.cc
+++ b/packages/node/src/node/answer_relay.cc
@@ -1,11 +1,11 @@
 #include "src/node/answer_relay.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <memory>
 #include <utility>
 
+#include "src/node/end_on_exception.h"
 #include "src/node/internal_api.h"
 #include "src/node/sse_scanner.h"
 
@@ -176,7 +176,7 @@
   const check_scope scope(state);
   if (options.check) {
     asio::co_spawn(co_await asio::this_coro::executor, CheckPeriodically(state),
-                   asio::detached);
+                   kEndOnException);
   }
   if (IsEventStream(from.headers())) {
     co_return co_await RelayStream(from, to, options, *state);
--- a/packages/node/src/node/entry/admin_fleet.cc
+++ b/packages/node/src/node/entry/admin_fleet.cc
@@ -1,11 +1,11 @@
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "src/node/control_client.h"
+#include "src/node/end_on_exception.h"
 #include "src/node/entry/admin_call.h"
 #include "src/node/entry/admin_json.h"
 #include "src/node/internal_api.h"
@@ -88,7 +88,7 @@
   round->done.expires_at(asio::steady_timer::time_point::max());
   for (std::size_t i = 0; i < peers.size(); ++i) {
     asio::co_spawn(executor, AskStatus(*services.context, peers[i], round, i),
-                   asio::detached);
+                   kEndOnException);
   }
   if (round->missing > 0) {
     boost::system::error_code ignored;
--- a/packages/node/src/node/entry/batches_api.cc
+++ b/packages/node/src/node/entry/batches_api.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <charconv>
 #include <utility>
 
 #include "src/node/batch_keys.h"
+#include "src/node/end_on_exception.h"
 #include "src/node/entry/batch_format.h"
 #include "src/node/entry/caller_server.h"
 #include "src/node/entry/item_target.h"
@@ -285,11 +285,11 @@
   if (!job) {
     ++kept_cancels_;
     asio::co_spawn(context_->control(), RetryCancel(account, job_id),
-                   asio::detached);
+                   kEndOnException);
     co_return Fail(job.error().WithOutcome(outcome::may_have_run));
   }
   if (job->state == job_state::cancelling) {
-    asio::co_spawn(context_->control(), Sweep(*job), asio::detached);
+    asio::co_spawn(context_->control(), Sweep(*job), kEndOnException);
   }
   co_return job;
 }
--- a/packages/node/src/node/entry/entry.cc
+++ b/packages/node/src/node/entry/entry.cc
@@ -1,7 +1,6 @@
 #include "src/node/entry/entry.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
@@ -9,6 +8,7 @@
 #include <utility>
 
 #include "src/node/control_client.h"
+#include "src/node/end_on_exception.h"
 #include "src/node/entry/batch_reader.h"
 #include "src/node/internal_api.h"
 #include "src/node/port_file.h"
@@ -150,9 +150,9 @@
     return started;
   }
   asio::post(context_->control(), [this] { peers_.Start(); });
-  asio::co_spawn(context_->control(), FollowHostList(), asio::detached);
-  asio::co_spawn(context_->control(), RefreshBackends(), asio::detached);
-  asio::co_spawn(context_->control(), FlushUsage(), asio::detached);
+  asio::co_spawn(context_->control(), FollowHostList(), kEndOnException);
+  asio::co_spawn(context_->control(), RefreshBackends(), kEndOnException);
+  asio::co_spawn(context_->control(), FlushUsage(), kEndOnException);
   kLog.Info("Entry host started.",
             {{"id", settings_.common.id},
              {"callers", callers_.server().address().ToString()},
--- a/packages/node/src/node/entry/idempotency.cc
+++ b/packages/node/src/node/entry/idempotency.cc
@@ -1,9 +1,9 @@
 #include "src/node/entry/idempotency.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "src/node/end_on_exception.h"
 #include "src/node/internal_api.h"
 #include "src/node/stored_record.h"
 
@@ -115,7 +115,7 @@
         return ReleaseIdempotent(now, nonce, RandomHex(kNonceBytes));
       };
       asio::co_spawn(context_->control(),
-                     RetryUpdate(object, std::move(release)), asio::detached);
+                     RetryUpdate(object, std::move(release)), kEndOnException);
     }
     const bool lost_race = written.error().kind() == error_kind::conflict;
     if (!lost_race || tries == kMaxClaimTries) {
@@ -155,7 +155,7 @@
                  {{"object", object}, {"error", updated.error().message()}});
     asio::co_spawn(context_->control(),
                    RetryUpdate(std::move(object), std::move(apply)),
-                   asio::detached);
+                   kEndOnException);
   }
 }
 
--- a/packages/node/src/node/entry/peer_exchange.cc
+++ b/packages/node/src/node/entry/peer_exchange.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
 #include "src/node/control_client.h"
+#include "src/node/end_on_exception.h"
 #include "src/node/internal_api.h"
 #include "src/node/suspect_codec.h"
 
@@ -119,10 +119,10 @@
 
 void peer_exchange::Start() {
   unknown_peers_.erase(context_->advertised().ToString());
-  asio::co_spawn(context_->control(), Gossip(), asio::detached);
-  asio::co_spawn(context_->control(), PollStore(), asio::detached);
-  asio::co_spawn(context_->control(), WatchConfig(), asio::detached);
-  asio::co_spawn(context_->control(), keeper_.Run(), asio::detached);
+  asio::co_spawn(context_->control(), Gossip(), kEndOnException);
+  asio::co_spawn(context_->control(), PollStore(), kEndOnException);
+  asio::co_spawn(context_->control(), WatchConfig(), kEndOnException);
+  asio::co_spawn(context_->control(), keeper_.Run(), kEndOnException);
 }
 
 void peer_exchange::OnHostList(const std::vector<listed_host>& hosts) {
@@ -240,7 +240,7 @@
         }(this, *address, static_cast<std::uint64_t>(digest->generation),
                                 static_cast<std::uint64_t>(
                                     digest->share_epoch)),
-        asio::detached);
+        kEndOnException);
   }
   peer_digest reply = Describe();
   if (!digest->removal_candidate.empty()) {
@@ -336,7 +336,7 @@
   for (const entry_host& peer : to) {
     if (const auto address = host_address::Parse(peer.address)) {
       asio::co_spawn(context_->control(), SendDigest(*address, candidate),
-                     asio::detached);
+                     kEndOnException);
     }
   }
 }
@@ -345,7 +345,7 @@
   for (const std::string& name : unknown_peers_) {
     if (const auto address = host_address::Parse(name)) {
       asio::co_spawn(context_->control(), SendDigest(*address, ""),
-                     asio::detached);
+                     kEndOnException);
     }
   }
 }
@@ -498,7 +498,7 @@
       message.answers_incarnation == context_->incarnation() && sent <= now;
   if (dated && catching_up_.insert(message.id).second) {
     asio::co_spawn(context_->control(), TakeHeartbeat(message, sent),
-                   asio::detached);
+                   kEndOnException);
   }
 }
 
--- a/packages/node/src/node/process_context.cc
+++ b/packages/node/src/node/process_context.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "cardamomyard/statechart.h"
-
 namespace cardamomyard {
 namespace {
 
@@ -34,9 +32,6 @@
 
 result<std::unique_ptr<process_context>> process_context::Create(
     common_settings settings) {
-  if (result<void> charts = ActivateCharts(settings.charts_folder); !charts) {
-    return Fail(charts.error());
-  }
   auto signer = request_signer::Create(settings.secret, SignatureClock());
   if (!signer) {
     return Fail(signer.error());
--- a/packages/node/src/node/run.cc
+++ b/packages/node/src/node/run.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "cardamomyard/statechart.h"
 #include "src/node/entry/entry.h"
 #include "src/node/sidecar/sidecar.h"
 
@@ -25,6 +26,10 @@
 
 template <class Role, class Settings>
 result<void> RunRole(const Settings& settings) {
+  if (result<void> charts = ActivateCharts(settings.common.charts_folder);
+      !charts) {
+    return charts;
+  }
   const sigset_t stop = BlockStopSignals();
   auto role = Role::Create(settings);
   if (!role) {
--- a/packages/node/src/node/sidecar/batch_worker.cc
+++ b/packages/node/src/node/sidecar/batch_worker.cc
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "src/node/batch_keys.h"
+#include "src/node/end_on_exception.h"
 #include "src/node/job_updates.h"
 #include "src/node/stored_record.h"
 
@@ -51,7 +51,7 @@
 }
 
 void batch_worker::Start() {
-  asio::co_spawn(pool_.At(0), Run(), asio::detached);
+  asio::co_spawn(pool_.At(0), Run(), kEndOnException);
 }
 
 void batch_worker::Stop() {
@@ -259,7 +259,7 @@
       parts_, pool_.At(0).get_executor(), std::move(claimed), tokens_);
   sessions_.push_back(session);
   ++held_groups_;
-  asio::co_spawn(pool_.At(0), RunSession(std::move(session)), asio::detached);
+  asio::co_spawn(pool_.At(0), RunSession(std::move(session)), kEndOnException);
   co_return true;
 }
 
--- a/packages/node/src/node/sidecar/group_session.cc
+++ b/packages/node/src/node/sidecar/group_session.cc
@@ -1,13 +1,13 @@
 #include "src/node/sidecar/group_session.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "src/node/batch_keys.h"
+#include "src/node/end_on_exception.h"
 #include "src/node/job_updates.h"
 #include "src/node/stored_record.h"
 
@@ -84,7 +84,7 @@
             self->committing_ = false;
             self->Wake();
           },
-          asio::detached);
+          kEndOnException);
     }
     if (running_.empty() && !committing_) {
       const bool unwritten =
@@ -268,7 +268,7 @@
        held = std::move(held)]() mutable -> asio::awaitable<void> {
         co_await self->RunItem(std::move(run), std::move(held));
       },
-      asio::detached);
+      kEndOnException);
 }
 
 asio::awaitable<void> group_session::RunItem(std::shared_ptr<item_run> run,
--- a/packages/node/src/node/sidecar/heartbeat_sender.cc
+++ b/packages/node/src/node/sidecar/heartbeat_sender.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,6 +9,7 @@
 #include <utility>
 
 #include "src/node/control_client.h"
+#include "src/node/end_on_exception.h"
 #include "src/node/internal_api.h"
 
 namespace cardamomyard {
@@ -43,7 +43,7 @@
     const heartbeat message = describe_();
     for (const auto& [name, peer] : targets_) {
       asio::co_spawn(context_->control(), SendTo(peer.address, message),
-                     asio::detached);
+                     kEndOnException);
     }
     timer_.expires_after(kInterval);
     boost::system::error_code ignored;
--- a/packages/node/src/node/sidecar/item_runner.cc
+++ b/packages/node/src/node/sidecar/item_runner.cc
@@ -1,11 +1,11 @@
 #include "src/node/sidecar/item_runner.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <utility>
 
+#include "src/node/end_on_exception.h"
 #include "src/node/internal_api.h"
 #include "src/node/sse_scanner.h"
 
@@ -35,7 +35,7 @@
   if (!run->stream) {
     run->call->Cancel();
   } else if (!run->progress.stream_id().empty()) {
-    asio::co_spawn(executor_, CancelOnEngine(run), asio::detached);
+    asio::co_spawn(executor_, CancelOnEngine(run), kEndOnException);
   }
   // Otherwise ReadStream() cancels after the first event, which names the
   // stream and whose token would be generated twice.
@@ -176,7 +176,7 @@
       break;
     }
     if (!named && run->stop && !run->progress.stream_id().empty()) {
-      asio::co_spawn(executor_, CancelOnEngine(run), asio::detached);
+      asio::co_spawn(executor_, CancelOnEngine(run), kEndOnException);
     }
   }
   if (!scanner.done()) {
--- a/packages/node/src/node/sidecar/sidecar.cc
+++ b/packages/node/src/node/sidecar/sidecar.cc
@@ -1,12 +1,12 @@
 #include "src/node/sidecar/sidecar.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_future.hpp>
 #include <future>
 #include <thread>
 #include <utility>
 
+#include "src/node/end_on_exception.h"
 #include "src/node/host_list_client.h"
 #include "src/node/port_file.h"
 #include "src/node/process_status.h"
@@ -124,12 +124,12 @@
   if (result<void> started = server_.Start(); !started) {
     return started;
   }
-  asio::co_spawn(context_->control(), Refresh(), asio::detached);
-  asio::co_spawn(context_->control(), FollowStore(), asio::detached);
-  asio::co_spawn(context_->control(), monitor_.Run(), asio::detached);
-  asio::co_spawn(context_->control(), heartbeats_.Run(), asio::detached);
+  asio::co_spawn(context_->control(), Refresh(), kEndOnException);
+  asio::co_spawn(context_->control(), FollowStore(), kEndOnException);
+  asio::co_spawn(context_->control(), monitor_.Run(), kEndOnException);
+  asio::co_spawn(context_->control(), heartbeats_.Run(), kEndOnException);
   if (orders_) {
-    asio::co_spawn(context_->control(), orders_->Run(), asio::detached);
+    asio::co_spawn(context_->control(), orders_->Run(), kEndOnException);
   }
   if (batch_) {
     batch_->Start();
@@ -252,7 +252,7 @@
   const auto epoch = static_cast<std::uint64_t>(reply.share_epoch);
   if (generation > config_.in_force() || epoch > table_.epoch()) {
     asio::co_spawn(context_->control(), CatchUp(from, generation, epoch),
-                   asio::detached);
+                   kEndOnException);
   }
   probe_ = probe_ || !reply.store_contact_age ||
            *reply.store_contact_age > kStaleContact;
--- a/standins/relay/relay.cc
+++ b/standins/relay/relay.cc
@@ -219,8 +219,8 @@
 }
 
 result<std::unique_ptr<relay>> relay::Create(asio::io_context& context,
-                                             host_address listen,
-                                             host_address target) {
+                                             const host_address& listen,
+                                             const host_address& target) {
   const auto endpoint = [](const host_address& address) {
     return tcp::endpoint(asio::ip::make_address(address.ip()), address.port());
   };
--- a/standins/relay/relay.h
+++ b/standins/relay/relay.h
@@ -23,8 +23,8 @@
  public:
   /// \param context  run by one thread only.
   static result<std::unique_ptr<relay>> Create(boost::asio::io_context& context,
-                                               host_address listen,
-                                               host_address target);
+                                               const host_address& listen,
+                                               const host_address& target);
   virtual ~relay() = default;
   virtual host_address address() const = 0;
   /// Call it on the thread of the context.
