--- a/packages/node/src/node/entry/peer_exchange.cc
+++ b/packages/node/src/node/entry/peer_exchange.cc
@@ -29,31 +29,10 @@
 // The store is read again before contact would lapse.
 constexpr milliseconds kContactReserve{2500};
 constexpr std::size_t kHostsInDigest = 64;
-constexpr std::size_t kHostsInReply = 64;
 constexpr std::chrono::seconds kForgetAfter{60};
-constexpr std::chrono::seconds kSidecarAge{30};
-
-std::int64_t Microseconds(time_point at) {
-  return std::chrono::floor<std::chrono::microseconds>(at.time_since_epoch())
-      .count();
-}
 
 }  // namespace
 
-std::string_view ToString(contact_state state) {
-  switch (state) {
-    case contact_state::store_contact:
-      return "store_contact";
-    case contact_state::relayed_contact:
-      return "relayed_contact";
-    case contact_state::outage:
-      return "outage";
-    case contact_state::isolated:
-      break;
-  }
-  return "isolated";
-}
-
 peer_exchange::peer_exchange(process_context& context,
                              config_follower& config,
                              cancelled_jobs& cancelled,
@@ -165,8 +144,6 @@
              : contact_state::isolated;
 }
 
-// Digests ------------------------------------------------------------------
-
 peer_digest peer_exchange::Describe() {
   const time_point now = context_->time().Now();
   peer_digest digest;
@@ -382,8 +359,6 @@
   }
 }
 
-// Store --------------------------------------------------------------------
-
 asio::awaitable<void> peer_exchange::PollStore() {
   while (true) {
     const time_point started = context_->time().Now();
@@ -438,210 +413,4 @@
   return hosts;
 }
 
-// Contact ------------------------------------------------------------------
-
-// Only hosts of the table can remove this one from it, so their majority
-// counts as evidence of an outage; without other entry hosts the sidecars do.
-void peer_exchange::UpdateKnown() {
-  std::set<std::string> known(table_.table().hosts.begin(),
-                              table_.table().hosts.end());
-  std::map<std::string, std::string> addresses;
-  for (const entry_host& peer : peers_.Peers()) {
-    addresses.emplace(peer.id, peer.address);
-    if (table_.epoch() == 0) {
-      known.insert(peer.id);
-    }
-  }
-  known.erase(context_->settings().id);
-  const time_point now = context_->time().Now();
-  std::erase_if(sidecars_, [now](const auto& sidecar) {
-    return now - sidecar.second > kSidecarAge;
-  });
-  if (known.empty()) {
-    for (const auto& [id, heard] : sidecars_) {
-      known.insert(id);
-    }
-  }
-  monitor_.SetKnown(std::move(known));
-  addresses_.Set(std::make_shared<const std::map<std::string, std::string>>(
-      std::move(addresses)));
-}
-
-void peer_exchange::UpdateContact() {
-  const time_point now = context_->time().Now();
-  const time_point until = monitor_.ContactUntil(now);
-  if (until > now) {
-    shares_.limiter().SetContact(until, now);
-    contact_until_ = until;
-  }
-  const contact_state state = monitor_.State(now);
-  state_ = state;
-  if (logged_ == state) {
-    return;
-  }
-  kLog.Info("Contact changed.", {{"state", ToString(state)}});
-  for (const contact_state each :
-       {contact_state::store_contact, contact_state::relayed_contact,
-        contact_state::outage, contact_state::isolated}) {
-    context_->metrics()
-        .Gauge("cardamomyard_contact", {{"state", std::string(ToString(each))}})
-        .Set(each == state ? 1 : 0);
-  }
-  logged_ = state;
-}
-
-void peer_exchange::OnHeartbeat(const heartbeat& message) {
-  const time_point now = context_->time().Now();
-  sidecars_[message.id] = now;
-  const time_point sent{
-      std::chrono::microseconds(message.answers_reply_time_us)};
-  const bool dated =
-      message.answers_incarnation == context_->incarnation() && sent <= now;
-  if (dated && catching_up_.insert(message.id).second) {
-    asio::co_spawn(context_->control(), TakeHeartbeat(message, sent),
-                   kEndOnException);
-  }
-}
-
-asio::awaitable<void> peer_exchange::TakeHeartbeat(heartbeat message,
-                                                   time_point sent) {
-  const auto address = host_address::Parse(message.address);
-  bool level = false;
-  if (address) {
-    level = co_await CatchUp(*address,
-                             static_cast<std::uint64_t>(message.generation),
-                             static_cast<std::uint64_t>(message.share_epoch));
-  }
-  catching_up_.erase(message.id);
-  const bool recent =
-      message.store_contact_age &&
-      *message.store_contact_age <= context_->settings().contact_window;
-  if (!level || (!recent && !message.store_unreachable)) {
-    co_return;
-  }
-  if (recent) {
-    monitor_.RelayedRead(sent - *message.store_contact_age);
-  }
-  attestation said;
-  said.store_contact_age = message.store_contact_age;
-  said.store_unreachable = message.store_unreachable;
-  monitor_.Attested(message.id, said, sent);
-  UpdateContact();
-}
-
-// The word of a peer counts like an own read here: sidecars read the store for
-// an entry host only when nobody else tells it of the store.
-event_age peer_exchange::ContactAge(time_point now) const {
-  const contact_state state = state_;
-  if (state != contact_state::store_contact &&
-      state != contact_state::relayed_contact) {
-    return store_.Age(now);
-  }
-  const duration left = contact_until_.load() - now;
-  return std::chrono::ceil<milliseconds>(
-      std::max(duration(0), context_->settings().contact_window - left));
-}
-
-void peer_exchange::FillReply(const heartbeat& message,
-                              heartbeat_reply& reply) {
-  const time_point now = context_->time().Now();
-  reply.share_epoch = static_cast<std::int64_t>(table_.epoch());
-  reply.store_contact_age = ContactAge(now);
-  reply.reply_time_us = Microseconds(now);
-  reply.incarnation = context_->incarnation();
-  std::map<std::string, entry_host> live;
-  std::vector<std::string> ids;
-  for (const entry_host& peer : peers_.Peers()) {
-    if (peer.heard > now - kSidecarAge) {
-      ids.push_back(peer.id);
-      live.emplace(peer.id, peer);
-    }
-  }
-  for (const std::string& id : RendezvousTop(ids, message.id, kHostsInReply)) {
-    const entry_host& peer = live.at(id);
-    reply.hosts.push_back({id, peer.address,
-                           std::chrono::ceil<milliseconds>(
-                               std::max(duration(0), now - peer.heard))});
-  }
-}
-
-// Share table --------------------------------------------------------------
-
-void peer_exchange::OnTable(const share_table& table, table_origin origin) {
-  shares_.SetTable(table, origin);
-  // A host that is in a later table than the one at the time of the promise
-  // was not removed by it.
-  std::erase_if(promised_, [&](const auto& promise) {
-    const bool resume =
-        table.epoch > promise.second &&
-        std::ranges::find(table.hosts, promise.first) != table.hosts.end();
-    if (resume) {
-      monitor_.ResumeEvidenceFor(promise.first);
-    }
-    return resume;
-  });
-  UpdateKnown();
-  AnnounceHere();
-}
-
-bool peer_exchange::AgreeToRemove(const std::string& candidate) {
-  const auto& hosts = table_.table().hosts;
-  if (std::ranges::find(hosts, candidate) == hosts.end() ||
-      !keeper_.IsLost(candidate)) {
-    return false;
-  }
-  monitor_.StopEvidenceFor(candidate);
-  promised_[candidate] = table_.epoch();
-  return true;
-}
-
-void peer_exchange::AskToRemove(const std::string& candidate) {
-  if (AgreeToRemove(candidate)) {
-    keeper_.Agreed(context_->settings().id, candidate, table_.epoch());
-  }
-  std::vector<entry_host> others = peers_.Peers();
-  std::erase_if(others,
-                [&](const entry_host& peer) { return peer.id == candidate; });
-  Spread(others, candidate);
-}
-
-// Loans --------------------------------------------------------------------
-
-asio::awaitable<http_response> peer_exchange::ServeBorrow(
-    const http_request& request) {
-  auto message = Decode<borrow>(request.body);
-  if (!message) {
-    co_return ErrorResponse(message.error(), "");
-  }
-  shares_.HostKnows(message->borrower,
-                    static_cast<std::uint64_t>(message->generation),
-                    static_cast<std::uint64_t>(message->share_epoch));
-  borrow_reply reply =
-      std::visit([&message](auto& gate) { return gate.Lend(*message); }, gate_);
-  reply.generation = static_cast<std::int64_t>(config_->in_force());
-  reply.share_epoch = static_cast<std::int64_t>(table_.epoch());
-  http_response answer;
-  answer.body = Encode(reply);
-  co_return answer;
-}
-
-asio::awaitable<result<borrow_reply>>
-peer_exchange::AskHome(std::string home, borrow message, milliseconds timeout) {
-  const auto addresses = addresses_.Get();
-  const auto found = addresses
-                         ? addresses->find(home)
-                         : std::map<std::string, std::string>::const_iterator();
-  if (!addresses || found == addresses->end()) {
-    co_return Fail(error_kind::not_found, "no address of host " + home);
-  }
-  auto address = host_address::Parse(found->second);
-  if (!address) {
-    co_return Fail(address.error());
-  }
-  message.generation = static_cast<std::int64_t>(config_->in_force());
-  message.share_epoch = static_cast<std::int64_t>(table_.epoch());
-  co_return co_await CallControl<borrow_reply>(
-      *context_, *address, internal_api::kBorrow, message, timeout);
-}
-
 }  // namespace cardamomyard
--- /dev/null
+++ b/packages/node/src/node/entry/peer_exchange_contact.cc
@@ -0,0 +1,166 @@
+// Evidence of contact with the store: who counts as evidence, heartbeats of
+// sidecars, and what they are told. Part of peer_exchange.
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <utility>
+
+#include "src/node/end_on_exception.h"
+#include "src/node/entry/peer_exchange.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr part_log kLog("peers");
+constexpr std::size_t kHostsInReply = 64;
+constexpr std::chrono::seconds kSidecarAge{30};
+
+std::int64_t Microseconds(time_point at) {
+  return std::chrono::floor<std::chrono::microseconds>(at.time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+std::string_view ToString(contact_state state) {
+  switch (state) {
+    case contact_state::store_contact:
+      return "store_contact";
+    case contact_state::relayed_contact:
+      return "relayed_contact";
+    case contact_state::outage:
+      return "outage";
+    case contact_state::isolated:
+      break;
+  }
+  return "isolated";
+}
+
+// Only hosts of the table can remove this one from it, so their majority
+// counts as evidence of an outage; without other entry hosts the sidecars do.
+void peer_exchange::UpdateKnown() {
+  std::set<std::string> known(table_.table().hosts.begin(),
+                              table_.table().hosts.end());
+  std::map<std::string, std::string> addresses;
+  for (const entry_host& peer : peers_.Peers()) {
+    addresses.emplace(peer.id, peer.address);
+    if (table_.epoch() == 0) {
+      known.insert(peer.id);
+    }
+  }
+  known.erase(context_->settings().id);
+  const time_point now = context_->time().Now();
+  std::erase_if(sidecars_, [now](const auto& sidecar) {
+    return now - sidecar.second > kSidecarAge;
+  });
+  if (known.empty()) {
+    for (const auto& [id, heard] : sidecars_) {
+      known.insert(id);
+    }
+  }
+  monitor_.SetKnown(std::move(known));
+  addresses_.Set(std::make_shared<const std::map<std::string, std::string>>(
+      std::move(addresses)));
+}
+
+void peer_exchange::UpdateContact() {
+  const time_point now = context_->time().Now();
+  const time_point until = monitor_.ContactUntil(now);
+  if (until > now) {
+    shares_.limiter().SetContact(until, now);
+    contact_until_ = until;
+  }
+  const contact_state state = monitor_.State(now);
+  state_ = state;
+  if (logged_ == state) {
+    return;
+  }
+  kLog.Info("Contact changed.", {{"state", ToString(state)}});
+  for (const contact_state each :
+       {contact_state::store_contact, contact_state::relayed_contact,
+        contact_state::outage, contact_state::isolated}) {
+    context_->metrics()
+        .Gauge("cardamomyard_contact", {{"state", std::string(ToString(each))}})
+        .Set(each == state ? 1 : 0);
+  }
+  logged_ = state;
+}
+
+void peer_exchange::OnHeartbeat(const heartbeat& message) {
+  const time_point now = context_->time().Now();
+  sidecars_[message.id] = now;
+  const time_point sent{
+      std::chrono::microseconds(message.answers_reply_time_us)};
+  const bool dated =
+      message.answers_incarnation == context_->incarnation() && sent <= now;
+  if (dated && catching_up_.insert(message.id).second) {
+    asio::co_spawn(context_->control(), TakeHeartbeat(message, sent),
+                   kEndOnException);
+  }
+}
+
+asio::awaitable<void> peer_exchange::TakeHeartbeat(heartbeat message,
+                                                   time_point sent) {
+  const auto address = host_address::Parse(message.address);
+  bool level = false;
+  if (address) {
+    level = co_await CatchUp(*address,
+                             static_cast<std::uint64_t>(message.generation),
+                             static_cast<std::uint64_t>(message.share_epoch));
+  }
+  catching_up_.erase(message.id);
+  const bool recent =
+      message.store_contact_age &&
+      *message.store_contact_age <= context_->settings().contact_window;
+  if (!level || (!recent && !message.store_unreachable)) {
+    co_return;
+  }
+  if (recent) {
+    monitor_.RelayedRead(sent - *message.store_contact_age);
+  }
+  attestation said;
+  said.store_contact_age = message.store_contact_age;
+  said.store_unreachable = message.store_unreachable;
+  monitor_.Attested(message.id, said, sent);
+  UpdateContact();
+}
+
+// The word of a peer counts like an own read here: sidecars read the store for
+// an entry host only when nobody else tells it of the store.
+event_age peer_exchange::ContactAge(time_point now) const {
+  const contact_state state = state_;
+  if (state != contact_state::store_contact &&
+      state != contact_state::relayed_contact) {
+    return store_.Age(now);
+  }
+  const duration left = contact_until_.load() - now;
+  return std::chrono::ceil<milliseconds>(
+      std::max(duration(0), context_->settings().contact_window - left));
+}
+
+void peer_exchange::FillReply(const heartbeat& message,
+                              heartbeat_reply& reply) {
+  const time_point now = context_->time().Now();
+  reply.share_epoch = static_cast<std::int64_t>(table_.epoch());
+  reply.store_contact_age = ContactAge(now);
+  reply.reply_time_us = Microseconds(now);
+  reply.incarnation = context_->incarnation();
+  std::map<std::string, entry_host> live;
+  std::vector<std::string> ids;
+  for (const entry_host& peer : peers_.Peers()) {
+    if (peer.heard > now - kSidecarAge) {
+      ids.push_back(peer.id);
+      live.emplace(peer.id, peer);
+    }
+  }
+  for (const std::string& id : RendezvousTop(ids, message.id, kHostsInReply)) {
+    const entry_host& peer = live.at(id);
+    reply.hosts.push_back({id, peer.address,
+                           std::chrono::ceil<milliseconds>(
+                               std::max(duration(0), now - peer.heard))});
+  }
+}
+
+}  // namespace cardamomyard
