--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
+#include <iterator>
 #include <mutex>
 #include <unordered_set>
 #include <utility>
@@ -29,6 +30,8 @@
 namespace {
 
 constexpr std::size_t kReadChunkBytes = 64 * 1024;
+// Looking up a header takes time in proportion to their number.
+constexpr std::ptrdiff_t kMaxHeaders = 100;
 constexpr auto kUseResult = asio::as_tuple(asio::use_awaitable);
 
 using plain_stream = beast::tcp_stream;
@@ -323,6 +326,11 @@
     }
     co_return false;
   }
+  if (std::distance(parser.get().begin(), parser.get().end()) > kMaxHeaders) {
+    co_await RefuseMalformed(stream,
+                             http::make_error_code(http::error::header_limit));
+    co_return false;
+  }
   const count_scope active(state.active);
   exchange<Stream> current(stream, buffer, parser, state, remote_ip);
   lowest.expires_never();
