--- a/test/harness/child_process.cc
+++ b/test/harness/child_process.cc
@@ -38,7 +38,8 @@
     }
   }
   for (const auto& [name, value] : added) {
-    merged.push_back(name + "=" + value);
+    merged.push_back(name);
+    merged.back().append("=").append(value);
   }
   return merged;
 }
--- a/tools/measure_program/customer.cc
+++ b/tools/measure_program/customer.cc
@@ -43,7 +43,7 @@
            "stall-app",
            12,
            4,
-           0.3,
+           0.27,
            {1.10, 0.75}}};
 }
 
--- a/tools/measure_program/customer_run.cc
+++ b/tools/measure_program/customer_run.cc
@@ -37,11 +37,12 @@
   for (std::size_t i = 0; i < kItemsPerJob; ++i) {
     const std::string id = prefix + "-" + std::to_string(i);
     accepted.push_back(id);
-    lines +=
-        R"({"custom_id":")" + id +
-        R"(","method":"POST","url":"/v1/chat/completions","body":{"model":")" +
-        model + R"(","messages":[{"role":"user","content":"describe lot )" +
-        id + R"("}],"max_tokens":)" + std::to_string(kItemTokens) + "}}\n";
+    lines.append(R"({"custom_id":")").append(id);
+    lines.append(R"(","method":"POST","url":"/v1/chat/completions",)");
+    lines.append(R"("body":{"model":")").append(model);
+    lines.append(R"(","messages":[{"role":"user","content":"describe lot )");
+    lines.append(id).append(R"("}],"max_tokens":)");
+    lines.append(std::to_string(kItemTokens)).append("}}\n");
   }
   return lines;
 }
--- a/tools/measure_program/idle_run.cc
+++ b/tools/measure_program/idle_run.cc
@@ -26,11 +26,12 @@
     const std::string name = "account-" + std::to_string(i);
     std::string hash = std::to_string(i);
     hash.insert(0, kHashDigits - hash.size(), '0');
-    text += "[account." + name +
-            "]\nrate_per_second = 5.0\nburst = 10\nweight = 1.0\nmodels = []\n"
-            "[key." +
-            name + "]\naccount = \"" + name + "\"\nsha256 = \"" + hash +
-            "\"\nwithdrawn = false\n";
+    text.append("[account.").append(name);
+    text.append(
+        "]\nrate_per_second = 5.0\nburst = 10\nweight = 1.0\nmodels = []\n");
+    text.append("[key.").append(name).append("]\naccount = \"").append(name);
+    text.append("\"\nsha256 = \"").append(hash);
+    text.append("\"\nwithdrawn = false\n");
   }
   return text;
 }
--- a/tools/measure_program/main.cc
+++ b/tools/measure_program/main.cc
@@ -129,8 +129,7 @@
 
 int main(int argc, char** argv) {
   cxxopts::Options flags("measure", "Measures the system with both customers");
-  flags.add_options()(
-      "quick", "Small fleets and short phases, within 50 s")(
+  flags.add_options()("quick", "Small fleets and short phases, within 50 s")(
       "customer", "varnenski_hamaci or co_operative; both without it",
       cxxopts::value<std::string>()->default_value(""))(
       "seed", "Seed of arrivals and prompts",
