--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -16,6 +16,9 @@
   target_include_directories(cy_${name} ${scope} ${CMAKE_CURRENT_SOURCE_DIR}/include
                              ${CMAKE_CURRENT_SOURCE_DIR})
   target_link_libraries(cy_${name} ${scope} ${ARG_DEPS})
+  if(NOT CARDAMOMYARD_TESTS)
+    return()
+  endif()
 
   file(GLOB tests CONFIGURE_DEPENDS test/*_test.cc)
   if(tests)
--- a/packages/base/include/cardamomyard/base.h
+++ b/packages/base/include/cardamomyard/base.h
@@ -4,6 +4,8 @@
 /// \file
 /// Public header of the package base: errors, results, clocks, hashes.
 
+#include "src/base/backoff.h"
+#include "src/base/base64.h"
 #include "src/base/clock.h"
 #include "src/base/digest.h"
 #include "src/base/error.h"
--- /dev/null
+++ b/packages/fleet/include/cardamomyard/fleet.h
@@ -0,0 +1,17 @@
+#ifndef CARDAMOMYARD_FLEET_H_
+#define CARDAMOMYARD_FLEET_H_
+
+/// \file
+/// Public header of the package fleet: what a host believes about routes,
+/// backend servers and its peers, and where it sends work. No sockets, no
+/// threads; time is an argument.
+
+#include "src/fleet/backend_directory.h"
+#include "src/fleet/backend_pool.h"
+#include "src/fleet/batch_placement.h"
+#include "src/fleet/crash_record.h"
+#include "src/fleet/online_placement.h"
+#include "src/fleet/peer_table.h"
+#include "src/fleet/service_map.h"
+
+#endif  // CARDAMOMYARD_FLEET_H_
--- /dev/null
+++ b/packages/fleet/src/fleet/backend_pool.cc
@@ -0,0 +1,125 @@
+#include "src/fleet/backend_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomyard {
+namespace {
+
+// A crashed server is back after some seconds; a wrong suspicion costs one
+// server for this long. Doubles with each failure in a row.
+constexpr std::chrono::milliseconds kFirstAvoidance{400};
+constexpr std::chrono::milliseconds kMostAvoidance{3000};
+// About the time in which a full server finishes a request.
+constexpr std::chrono::milliseconds kFullAvoidance{80};
+
+int& Count(auto& counts, work_class work) {
+  return work == work_class::online ? counts.online : counts.batch;
+}
+
+}  // namespace
+
+void backend_pool::SetBackends(std::vector<usable_backend> backends) {
+  backends_ = std::move(backends);
+  std::erase_if(health_, [this](const auto& item) {
+    return !Find(item.first).has_value();
+  });
+}
+
+void backend_pool::SetPeerLoads(const std::string& host,
+                                std::vector<backend_load> loads) {
+  auto& held = peers_[host];
+  held.clear();
+  for (backend_load& load : loads) {
+    held[std::move(load.backend)] = {load.online, load.batch};
+  }
+}
+
+void backend_pool::ForgetPeer(const std::string& host) {
+  peers_.erase(host);
+}
+
+void backend_pool::Began(const std::string& backend, work_class work) {
+  ++Count(own_[backend], work);
+}
+
+void backend_pool::Ended(const std::string& backend, work_class work) {
+  const auto found = own_.find(backend);
+  if (found == own_.end()) {
+    return;
+  }
+  --Count(found->second, work);
+  if (found->second == counts{}) {
+    own_.erase(found);
+  }
+}
+
+void backend_pool::Failed(const std::string& backend, time_point now) {
+  health& state = health_[backend];
+  const auto avoidance =
+      std::min(kMostAvoidance, kFirstAvoidance * (1 << state.failures));
+  state.failures = std::min(state.failures + 1, 8);
+  state.avoid_until = now + avoidance;
+}
+
+void backend_pool::Full(const std::string& backend, time_point now) {
+  health& state = health_[backend];
+  state.avoid_until = std::max(state.avoid_until, now + kFullAvoidance);
+}
+
+void backend_pool::Succeeded(const std::string& backend) {
+  health_.erase(backend);
+}
+
+std::vector<backend_status> backend_pool::Status(const std::string& service,
+                                                 time_point now) const {
+  std::vector<backend_status> found;
+  for (const usable_backend& usable : backends_) {
+    if (usable.entry.service != service) {
+      continue;
+    }
+    const std::string& id = usable.entry.id;
+    backend_status status;
+    status.entry = usable.entry;
+    status.lapsed = usable.lapsed;
+    if (const auto own = own_.find(id); own != own_.end()) {
+      status.own_online = own->second.online;
+      status.own_batch = own->second.batch;
+    }
+    status.online = status.own_online;
+    status.batch = status.own_batch;
+    for (const auto& [host, loads] : peers_) {
+      if (const auto load = loads.find(id); load != loads.end()) {
+        status.online += load->second.online;
+        status.batch += load->second.batch;
+      }
+    }
+    const auto health = health_.find(id);
+    status.avoided =
+        health != health_.end() && now < health->second.avoid_until;
+    found.push_back(std::move(status));
+  }
+  return found;
+}
+
+std::optional<backend_entry> backend_pool::Find(
+    const std::string& backend) const {
+  const auto found = std::find_if(
+      backends_.begin(), backends_.end(),
+      [&backend](const usable_backend& b) { return b.entry.id == backend; });
+  if (found == backends_.end()) {
+    return std::nullopt;
+  }
+  return found->entry;
+}
+
+std::vector<backend_load> backend_pool::OwnLoads() const {
+  std::vector<backend_load> loads;
+  loads.reserve(own_.size());
+  for (const auto& [id, own] : own_) {
+    loads.push_back({id, own.online, own.batch});
+  }
+  return loads;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/fleet/src/fleet/backend_pool.h
@@ -0,0 +1,73 @@
+#ifndef CARDAMOMYARD_FLEET_BACKEND_POOL_H_
+#define CARDAMOMYARD_FLEET_BACKEND_POOL_H_
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/wire.h"
+#include "src/fleet/backend_directory.h"
+
+namespace cardamomyard {
+
+enum class work_class { online, batch };
+
+/// \brief What is known about the load of one backend server.
+struct backend_status {
+  backend_entry entry;
+  bool lapsed = false;
+  int online = 0;        ///< Online requests of all hosts.
+  int batch = 0;         ///< Batch items of all hosts, which may be stopped.
+  int own_online = 0;    ///< Online requests of this host.
+  int own_batch = 0;     ///< Batch items of this host.
+  bool avoided = false;  ///< It failed or was full a moment ago.
+};
+
+/// \brief The load and the health of the usable backend servers, from this
+/// host's requests and its peers' digests.
+class backend_pool {
+ public:
+  void SetBackends(std::vector<usable_backend> backends);
+  /// Replaces what one peer has in flight.
+  void SetPeerLoads(const std::string& host, std::vector<backend_load> loads);
+  void ForgetPeer(const std::string& host);
+
+  void Began(const std::string& backend, work_class work);
+  void Ended(const std::string& backend, work_class work);
+  /// A connection or an answer failed: avoid the server for a growing time.
+  void Failed(const std::string& backend, time_point now);
+  /// The server refused for want of room.
+  void Full(const std::string& backend, time_point now);
+  void Succeeded(const std::string& backend);
+
+  /// \returns the servers of a service, in the order of their ids.
+  std::vector<backend_status> Status(const std::string& service,
+                                     time_point now) const;
+  /// \returns nothing when the server is not usable.
+  std::optional<backend_entry> Find(const std::string& backend) const;
+  /// \returns what this host has in flight, for its digest.
+  std::vector<backend_load> OwnLoads() const;
+
+ private:
+  struct counts {
+    int online = 0;
+    int batch = 0;
+    friend bool operator==(const counts&, const counts&) = default;
+  };
+  struct health {
+    int failures = 0;
+    time_point avoid_until;
+  };
+
+  std::vector<usable_backend> backends_;
+  std::map<std::string, counts> own_;
+  std::map<std::string, std::map<std::string, counts>> peers_;
+  std::map<std::string, health> health_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_FLEET_BACKEND_POOL_H_
--- /dev/null
+++ b/packages/fleet/src/fleet/crash_record.h
@@ -0,0 +1,42 @@
+#ifndef CARDAMOMYARD_FLEET_CRASH_RECORD_H_
+#define CARDAMOMYARD_FLEET_CRASH_RECORD_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "cardamomyard/base.h"
+
+namespace cardamomyard {
+
+/// \brief Requests that were running when a backend server broke off.
+///
+/// A request that breaks off at each server that runs it would take one server
+/// after the other down; it is refused after kMaxCrashes different ones.
+class crash_record {
+ public:
+  static constexpr std::size_t kMaxCrashes = 3;
+
+  /// \param fingerprint  hash of account, path and body.
+  void Crashed(std::uint64_t fingerprint,
+               const std::string& backend,
+               time_point now);
+  /// The request ran to its end.
+  void Completed(std::uint64_t fingerprint);
+  bool Refused(std::uint64_t fingerprint, time_point now);
+
+ private:
+  struct entry {
+    std::set<std::string> backends;
+    time_point last;
+  };
+  void Expire(time_point now);
+  std::map<std::uint64_t, entry> entries_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_FLEET_CRASH_RECORD_H_
--- /dev/null
+++ b/packages/fleet/src/fleet/peer_table.cc
@@ -0,0 +1,110 @@
+#include "src/fleet/peer_table.h"
+
+#include <utility>
+
+namespace cardamomyard {
+namespace {
+
+// A restarted host is back after some seconds; a lost one keeps its part of
+// every quota unused until it is forgotten.
+constexpr std::chrono::seconds kForgetAfter{12};
+
+}  // namespace
+
+peer_table::peer_table(std::string self) : self_(std::move(self)) {}
+
+void peer_table::Add(host_entry host, time_point now) {
+  if (host.name == self_) {
+    return;
+  }
+  known_since_.try_emplace(host.name, now);
+  peer_state& peer = peers_[host.name];
+  peer.host = std::move(host);
+}
+
+bool peer_table::Receive(const load_digest& digest,
+                         const host_address& from,
+                         time_point now) {
+  if (digest.host == self_) {
+    return false;
+  }
+  peer_state& peer = peers_[digest.host];
+  const load_digest& last = peer.digest;
+  const bool newer = !peer.heard || digest.incarnation > last.incarnation ||
+                     (digest.incarnation == last.incarnation &&
+                      digest.sequence > last.sequence);
+  if (!newer) {
+    return false;
+  }
+  known_since_.try_emplace(digest.host, now);
+  result<host_address> address = host_address::Parse(digest.address);
+  peer.host = host_entry{digest.host, address ? *address : from, digest.role};
+  peer.heard = now;
+  peer.digest = digest;
+  silent_[digest.host] = false;
+  return true;
+}
+
+bool peer_table::Live(const peer_state& peer, time_point now) const {
+  return peer.heard && now - *peer.heard < kSilence;
+}
+
+std::vector<std::string> peer_table::NewlySilent(time_point now) {
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : peers_) {
+    bool& silent = silent_.try_emplace(name, true).first->second;
+    if (!silent && !Live(peer, now)) {
+      silent = true;
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+void peer_table::ForgetLost(time_point now) {
+  const auto [known, heard] = GatewayCounts(now);
+  // This host counts on both sides.
+  if (2 * (heard + 1) <= known + 1) {
+    return;
+  }
+  std::erase_if(peers_, [&](const auto& item) {
+    const auto& [name, peer] = item;
+    const time_point last = peer.heard.value_or(known_since_[name]);
+    if (now - last < kForgetAfter) {
+      return false;
+    }
+    known_since_.erase(name);
+    silent_.erase(name);
+    return true;
+  });
+}
+
+const peer_state* peer_table::Find(const std::string& host) const {
+  const auto found = peers_.find(host);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
+std::vector<const peer_state*> peer_table::LivePeers(host_role role,
+                                                     time_point now) const {
+  std::vector<const peer_state*> live;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.host.role == role && Live(peer, now) && !peer.digest.draining) {
+      live.push_back(&peer);
+    }
+  }
+  return live;
+}
+
+std::pair<int, int> peer_table::GatewayCounts(time_point now) const {
+  int known = 0;
+  int heard = 0;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.host.role == host_role::gateway) {
+      ++known;
+      heard += Live(peer, now) ? 1 : 0;
+    }
+  }
+  return {known, heard};
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -0,0 +1,316 @@
+#include "src/gateway/gateway.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <thread>
+#include <utility>
+
+#include "src/gateway/job_frontend.h"
+#include "src/gateway/online_handler.h"
+#include "src/gateway/online_request.h"
+#include "src/gateway/quota_gate.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+
+namespace {
+
+// The balancer asks each second and takes a host out after two misses; until
+// then new connections arrive and are served.
+constexpr std::chrono::milliseconds kLeaveBalancer{2600};
+// The process ends this long before it would be killed.
+constexpr std::chrono::milliseconds kStopMargin{400};
+constexpr std::chrono::milliseconds kStopPoll{20};
+// Without a deadline from the caller or the route.
+constexpr std::chrono::milliseconds kDefaultTimeout{30'000};
+// A starting host has its configuration after one call to the store.
+constexpr std::chrono::milliseconds kNotReadyRetry{500};
+
+class gateway_impl final : public gateway {
+ public:
+  static result<std::unique_ptr<gateway>> Create(host_settings settings,
+                                                 platform_services services) {
+    auto made = std::make_unique<gateway_impl>();
+    auto host = host_runtime::Create(
+        std::move(settings), host_role::gateway, std::move(services),
+        host_runtime::role_events{
+            [self = made.get()](load_digest& digest) {
+              self->quotas_->Fill(digest);
+            },
+            [self = made.get()](const load_digest& digest) {
+              self->quotas_->OnDigest(digest);
+              self->jobs_->OnDigest(digest);
+            },
+            [](const std::string&) {},
+            [self = made.get()](std::shared_ptr<const service_map> next) {
+              self->Configure(*next);
+            },
+            [](http_exchange& exchange) -> asio::awaitable<void> {
+              co_await exchange.Send(ErrorResponse(
+                  error::Make(error_kind::not_found, "unknown call"), ""));
+            }});
+    if (!host) {
+      return Fail(host.error());
+    }
+    made->host_ = std::move(*host);
+    made->quotas_ =
+        std::make_unique<quota_gate>(made->host_->time(), made->host_->peers(),
+                                     made->host_->settings().first_start);
+    made->online_ =
+        std::make_unique<online_handler>(*made->host_, *made->quotas_);
+    made->jobs_ = std::make_unique<job_frontend>(*made->host_);
+    if (result<void> opened = made->Listen(); !opened) {
+      return Fail(opened.error());
+    }
+    return std::unique_ptr<gateway>(std::move(made));
+  }
+
+  void Start() override {
+    host_->Start();
+    callers_->Start();
+    ready_->Start();
+  }
+
+  void Stop() override {
+    log_.Info("The gateway stops.",
+              {{"open_connections", callers_->open_connections()},
+               {"active_requests", callers_->active_requests()}});
+    const time_point began = host_->time().Now();
+    const time_point end =
+        began + host_->settings().bounds.stop_grace - kStopMargin;
+    OnTraffic([this] {
+      stopping_ = true;
+      host_->StartDraining();
+    });
+    WaitUntil(began + kLeaveBalancer, [] { return false; });
+    callers_->StartDraining();
+    callers_->StopListening();
+    WaitUntil(end, [this] { return callers_->active_requests() == 0; });
+    log_.Info("The gateway has stopped.",
+              {{"cut_requests", callers_->active_requests()}});
+  }
+
+ private:
+  result<void> Listen() {
+    const host_settings& settings = host_->settings();
+    if (!settings.caller_listen || !settings.ready_listen) {
+      return Fail(error_kind::invalid_request,
+                  "a gateway needs addresses for callers and for readiness");
+    }
+    http_server_options options;
+    options.listen = *settings.caller_listen;
+    auto callers = http_server::Create(
+        options, host_->traffic_threads(),
+        [this](http_exchange& exchange) { return Handle(exchange); });
+    if (!callers) {
+      return Fail(callers.error());
+    }
+    callers_ = std::move(*callers);
+    options.listen = *settings.ready_listen;
+    auto ready = http_server::Create(
+        options, host_->traffic_threads(),
+        [this](http_exchange& exchange) { return AnswerReady(exchange); });
+    if (!ready) {
+      return Fail(ready.error());
+    }
+    ready_ = std::move(*ready);
+    return {};
+  }
+
+  void OnTraffic(const std::function<void()>& work) {
+    std::promise<void> done;
+    asio::post(host_->traffic(), [&] {
+      work();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  void WaitUntil(time_point end, const std::function<bool()>& done) {
+    while (host_->time().Now() < end && !done()) {
+      std::this_thread::sleep_for(kStopPoll);
+    }
+  }
+
+  void Configure(const service_map& next) {
+    quotas_->Configure(next);
+    const caller_limits& limits = next.limits();
+    callers_->SetLimits(limits.max_header_bytes, limits.header_timeout,
+                        limits.idle_timeout);
+  }
+
+  bool Ready() const {
+    return !stopping_ && host_->stock().configuration() != nullptr &&
+           host_->stock().listed();
+  }
+
+  asio::awaitable<void> AnswerReady(http_exchange& exchange) {
+    if (exchange.request().target == "/metrics") {
+      http_response metrics;
+      metrics.body = host_->metrics().Expose();
+      co_await exchange.Send(std::move(metrics));
+      co_return;
+    }
+    http_response answer;
+    answer.status = Ready() ? 200 : 503;
+    co_await exchange.Send(std::move(answer));
+  }
+
+  asio::awaitable<void> Handle(http_exchange& exchange) {
+    const time_point arrived = host_->time().Now();
+    const auto configuration = host_->stock().configuration();
+    const auto caller = host_->codec().ReadCaller(exchange.request());
+    if (!caller) {
+      co_await Refuse(exchange, caller.error(), "");
+      co_return;
+    }
+    if (configuration == nullptr || IsCutOff()) {
+      co_await Refuse(
+          exchange,
+          error::Make(configuration == nullptr ? error_kind::not_ready
+                                               : error_kind::isolated,
+                      "this host knows no current configuration")
+              .WithRetryAfter(kNotReadyRetry),
+          caller->id);
+      co_return;
+    }
+    const auto call = host_->codec().ReadJobCall(exchange.request());
+    const service_route* route =
+        call ? nullptr : configuration->MatchRoute(caller->host, caller->path);
+    if (!call && route == nullptr) {
+      co_await Refuse(exchange,
+                      error::Make(error_kind::not_found,
+                                  "no route leads to " + caller->path),
+                      caller->id, configuration.get());
+      co_return;
+    }
+    std::string account;
+    if (configuration->keys_required() && (route == nullptr || !route->open)) {
+      const service_account* holder =
+          caller->key ? configuration->AccountOfKey(*caller->key) : nullptr;
+      if (holder == nullptr) {
+        co_await Refuse(exchange,
+                        error::Make(error_kind::invalid_credentials,
+                                    caller->key ? "the key is not known"
+                                                : "a key is required"),
+                        caller->id, configuration.get());
+        co_return;
+      }
+      account = holder->name;
+    }
+    result<std::string> body =
+        co_await exchange.ReadBody(configuration->limits().max_body_bytes);
+    if (!body) {
+      co_await Refuse(exchange, body.error(), caller->id);
+      co_return;
+    }
+    if (call || route->kind == route_kind::batch) {
+      http_response answer;
+      if (!call) {
+        answer =
+            co_await jobs_->Submit(*caller, *route, account, std::move(*body));
+      } else if (!*call) {
+        answer = host_->codec().Refusal(call->error(), caller->id);
+      } else {
+        answer = co_await jobs_->Call(*caller, **call, account);
+      }
+      co_await exchange.Send(std::move(answer));
+      co_return;
+    }
+    auto request = std::make_shared<online_request>();
+    request->exchange = &exchange;
+    request->configuration = configuration;
+    request->route = route;
+    request->account = account;
+    request->caller = *caller;
+    request->fingerprint =
+        Hash64(*body, Hash64(exchange.request().target, Hash64(account)));
+    request->body = std::move(*body);
+    request->arrived = arrived;
+    request->deadline = arrived + Timeout(*caller, *route);
+    if (!account.empty()) {
+      if (const auto wait = quotas_->Admit(account)) {
+        log_.Info("A request is over its account's quota.",
+                  {{"request", caller->id},
+                   {"account", account},
+                   {"retry_after_ms", wait->count()},
+                   {"configuration", configuration->version()}});
+        co_await Refuse(exchange,
+                        error::Make(error_kind::rate_limited,
+                                    "the account's quota is used up")
+                            .WithRetryAfter(*wait),
+                        caller->id);
+        co_return;
+      }
+      request->counted = true;
+      host_->digests().Changed();
+    }
+    co_await online_->Handle(exchange, std::move(request));
+  }
+
+  static std::chrono::milliseconds Timeout(const caller_request& caller,
+                                           const service_route& route) {
+    const auto most =
+        route.timeout.count() > 0 ? route.timeout : kDefaultTimeout;
+    return caller.time_left ? std::min(*caller.time_left, most) : most;
+  }
+
+  /// \returns whether a withdrawn key might still be taken for good here, in a
+  /// deployment that does not allow that.
+  bool IsCutOff() const {
+    const auto bound = host_->settings().bounds.strict_withdrawal;
+    if (!bound) {
+      return false;
+    }
+    const auto age = host_->stock().store_age();
+    if (age && *age < *bound) {
+      return false;
+    }
+    const time_point now = host_->time().Now();
+    for (const auto& [name, peer] : host_->peers().peers()) {
+      if (host_->peers().Live(peer, now) && peer.digest.store_contact_age &&
+          *peer.digest.store_contact_age < *bound) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  asio::awaitable<void> Refuse(http_exchange& exchange,
+                               error cause,
+                               std::string request_id,
+                               const service_map* configuration = nullptr) {
+    const auto age = host_->stock().store_age();
+    log_.Info("A request is refused.",
+              {{"request", request_id},
+               {"kind", ToString(cause.kind())},
+               {"reason", cause.message()},
+               {"configuration",
+                configuration != nullptr ? configuration->version() : -1},
+               {"store_age_ms", age ? age->count() : -1}});
+    host_->metrics()
+        .Counter("cardamomyard_requests_total",
+                 {{"outcome", std::string(ToString(cause.kind()))}})
+        .Add();
+    co_await exchange.Send(host_->codec().Refusal(cause, request_id));
+  }
+
+  std::unique_ptr<host_runtime> host_;
+  std::unique_ptr<quota_gate> quotas_;
+  std::unique_ptr<online_handler> online_;
+  std::unique_ptr<job_frontend> jobs_;
+  std::unique_ptr<http_server> callers_;
+  std::unique_ptr<http_server> ready_;
+  part_log log_{"gateway"};
+  bool stopping_ = false;
+};
+
+}  // namespace
+
+result<std::unique_ptr<gateway>> gateway::Create(host_settings settings,
+                                                 platform_services services) {
+  return gateway_impl::Create(std::move(settings), std::move(services));
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/gossip.cc
@@ -0,0 +1,168 @@
+#include "src/gateway/gossip.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+namespace {
+
+constexpr auto kUseResult = asio::as_tuple(asio::use_awaitable);
+// Without changes a peer hears this often that the host lives; less than a
+// third of peer_table::kSilence, so that two lost datagrams do no harm.
+constexpr std::chrono::milliseconds kHeartbeat{250};
+// A placement is known to all peers about this long after it was made.
+constexpr std::chrono::milliseconds kLeastInterval{30};
+// With many peers the cost of sending stays at about this many datagrams a
+// second.
+constexpr int kMaxDatagramsPerSecond = 300;
+
+}  // namespace
+
+result<std::unique_ptr<gossip>> gossip::Create(asio::io_context& context,
+                                               host_address listen,
+                                               std::vector<host_address> seeds,
+                                               peer_table& peers,
+                                               const clock& time,
+                                               events handlers) {
+  udp::socket socket(context);
+  boost::system::error_code code;
+  const udp::endpoint endpoint(asio::ip::make_address(listen.ip(), code),
+                               listen.port());
+  if (!code) {
+    socket.open(endpoint.protocol(), code);
+  }
+  if (!code) {
+    socket.bind(endpoint, code);
+  }
+  if (!code) {
+    socket.non_blocking(true, code);
+  }
+  if (code) {
+    return Fail(error_kind::internal, "cannot receive datagrams on " +
+                                          listen.ToString() + ": " +
+                                          code.message());
+  }
+  return std::unique_ptr<gossip>(new gossip(std::move(socket), std::move(seeds),
+                                            peers, time, std::move(handlers)));
+}
+
+gossip::gossip(udp::socket socket,
+               std::vector<host_address> seeds,
+               peer_table& peers,
+               const clock& time,
+               events handlers)
+    : socket_(std::move(socket)),
+      wake_(socket_.get_executor()),
+      seeds_(std::move(seeds)),
+      peers_(&peers),
+      clock_(&time),
+      events_(std::move(handlers)),
+      last_sent_(time.Now()) {}
+
+void gossip::Start() {
+  asio::co_spawn(socket_.get_executor(), Receive(), kEndOnException);
+  asio::co_spawn(socket_.get_executor(), Send(), kEndOnException);
+}
+
+void gossip::Changed() {
+  if (!changed_) {
+    changed_ = true;
+    wake_.cancel();
+  }
+}
+
+std::chrono::milliseconds gossip::Interval() const {
+  const auto peers = static_cast<int>(peers_->peers().size());
+  return std::max(kLeastInterval, std::chrono::milliseconds(
+                                      1000 * peers / kMaxDatagramsPerSecond));
+}
+
+asio::awaitable<void> gossip::Receive() {
+  udp::endpoint from;
+  while (true) {
+    auto [code, bytes] = co_await socket_.async_receive_from(
+        asio::buffer(buffer_), from, kUseResult);
+    if (code) {
+      // A peer's closed port shows up here as a refused connection.
+      continue;
+    }
+    const auto digest =
+        Decode<load_digest>(std::string_view(buffer_.data(), bytes));
+    if (!digest) {
+      log_.Warning("A datagram is not a digest.",
+                   {{"from", from.address().to_string()},
+                    {"reason", digest.error().message()}});
+      continue;
+    }
+    const auto sender =
+        host_address::Make(from.address().to_string(), from.port());
+    const peer_state* known = peers_->Find(digest->host);
+    const bool was_live = known && peers_->Live(*known, clock_->Now());
+    if (!peers_->Receive(*digest, sender, clock_->Now())) {
+      continue;
+    }
+    if (!was_live) {
+      log_.Info("A peer is heard.", {{"peer", digest->host},
+                                     {"incarnation", digest->incarnation},
+                                     {"sequence", digest->sequence}});
+    }
+    events_.on_digest(*digest);
+  }
+}
+
+asio::awaitable<void> gossip::Send() {
+  while (true) {
+    const time_point due =
+        last_sent_ + (changed_ ? duration(Interval()) : duration(kHeartbeat));
+    const time_point now = clock_->Now();
+    if (now < due) {
+      wake_.expires_after(due - now);
+      // A change ends the wait early and makes it shorter.
+      co_await wake_.async_wait(kUseResult);
+      continue;
+    }
+    SendNow();
+    const time_point sent = clock_->Now();
+    for (const std::string& peer : peers_->NewlySilent(sent)) {
+      log_.Warning("A peer is silent.", {{"peer", peer}});
+      events_.on_silent(peer);
+    }
+    peers_->ForgetLost(sent);
+  }
+}
+
+void gossip::SendNow() {
+  changed_ = false;
+  last_sent_ = clock_->Now();
+  load_digest digest;
+  events_.fill(digest);
+  digest.sequence = ++sequence_;
+  const std::string bytes = Encode(digest);
+  for (const auto& [name, peer] : peers_->peers()) {
+    SendTo(peer.host.address, bytes);
+  }
+  for (const host_address& seed : seeds_) {
+    const bool known = std::any_of(
+        peers_->peers().begin(), peers_->peers().end(),
+        [&seed](const auto& p) { return p.second.host.address == seed; });
+    if (!known && seed.ToString() != digest.address) {
+      SendTo(seed, bytes);
+    }
+  }
+}
+
+void gossip::SendTo(const host_address& address, const std::string& bytes) {
+  boost::system::error_code ignored;
+  const auto ip = asio::ip::make_address(address.ip(), ignored);
+  // A datagram that is lost or refused is replaced by the next one.
+  socket_.send_to(asio::buffer(bytes), udp::endpoint(ip, address.port()), 0,
+                  ignored);
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/gossip.h
@@ -0,0 +1,76 @@
+#ifndef CARDAMOMYARD_GATEWAY_GOSSIP_H_
+#define CARDAMOMYARD_GATEWAY_GOSSIP_H_
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/fleet.h"
+#include "cardamomyard/net.h"
+#include "cardamomyard/telemetry.h"
+#include "cardamomyard/wire.h"
+
+namespace cardamomyard {
+
+/// \brief Sends this host's digest to its peers and receives theirs, by
+/// datagrams. Lives on the traffic thread.
+///
+/// A digest goes out soon after a change, so that hosts know of each other's
+/// placements before the next request of a burst, and otherwise as a heartbeat.
+class gossip {
+ public:
+  struct events {
+    /// Fills in a digest with what is current.
+    std::function<void(load_digest&)> fill;
+    /// A new digest of a peer has arrived.
+    std::function<void(const load_digest&)> on_digest;
+    std::function<void(const std::string& peer)> on_silent;
+  };
+
+  /// Binds the address.
+  static result<std::unique_ptr<gossip>> Create(
+      boost::asio::io_context& context,
+      host_address listen,
+      std::vector<host_address> seeds,
+      peer_table& peers,
+      const clock& time,
+      events handlers);
+
+  void Start();
+  /// Something changed that peers should know soon.
+  void Changed();
+
+ private:
+  gossip(boost::asio::ip::udp::socket socket,
+         std::vector<host_address> seeds,
+         peer_table& peers,
+         const clock& time,
+         events handlers);
+  boost::asio::awaitable<void> Receive();
+  boost::asio::awaitable<void> Send();
+  void SendNow();
+  void SendTo(const host_address& address, const std::string& bytes);
+  /// \returns the shortest time between two digests: more peers, fewer digests.
+  std::chrono::milliseconds Interval() const;
+
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer wake_;
+  std::vector<host_address> seeds_;
+  peer_table* peers_;
+  const clock* clock_;
+  events events_;
+  part_log log_{"gossip"};
+  bool changed_ = false;
+  std::int64_t sequence_ = 0;
+  time_point last_sent_;
+  std::array<char, 64 * 1024> buffer_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_GATEWAY_GOSSIP_H_
--- /dev/null
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -0,0 +1,326 @@
+#include "src/gateway/host_runtime.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <string_view>
+#include <utility>
+
+#include "src/gateway/internal_paths.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+
+namespace {
+
+// How often a host without store contact asks a peer, and a host whose peers
+// have a newer configuration.
+constexpr std::chrono::milliseconds kCatchUpPeriod{300};
+// A watch delivers a change within some milliseconds; later, a peer's word
+// counts as newer.
+constexpr std::chrono::milliseconds kStoreStale{600};
+constexpr std::chrono::milliseconds kPeerTimeout{500};
+// Lapsed servers are dropped from the pool this often.
+constexpr std::chrono::milliseconds kRefreshPeriod{200};
+constexpr std::chrono::milliseconds kFirstRetry{100};
+constexpr std::chrono::milliseconds kMostRetry{2000};
+
+constexpr std::string_view kGatewayWord = "gateway ";
+constexpr std::string_view kWorkerWord = "worker ";
+
+/// A host's record in the store: its role and its internal address.
+std::string EncodeHost(const host_address& address, host_role role) {
+  return std::string(role == host_role::gateway ? kGatewayWord : kWorkerWord) +
+         address.ToString();
+}
+
+result<host_entry> DecodeHost(const store_record& record) {
+  std::string_view text = record.value;
+  host_role role = host_role::gateway;
+  if (text.starts_with(kGatewayWord)) {
+    text.remove_prefix(kGatewayWord.size());
+  } else if (text.starts_with(kWorkerWord)) {
+    text.remove_prefix(kWorkerWord.size());
+    role = host_role::worker;
+  } else {
+    return Fail(error_kind::internal,
+                "unknown role in \"" + record.value + "\"");
+  }
+  const result<host_address> address = host_address::Parse(text);
+  if (!address) {
+    return Fail(address.error());
+  }
+  return host_entry{record.name, *address, role};
+}
+
+}  // namespace
+
+result<std::unique_ptr<host_runtime>> host_runtime::Create(
+    host_settings settings,
+    host_role role,
+    platform_services services,
+    role_events events) {
+  std::unique_ptr<host_runtime> made(new host_runtime(
+      std::move(settings), role, std::move(services), std::move(events)));
+  if (result<void> opened = made->Open(); !opened) {
+    return Fail(opened.error());
+  }
+  return made;
+}
+
+host_runtime::host_runtime(host_settings settings,
+                           host_role role,
+                           platform_services services,
+                           role_events events)
+    : settings_(std::move(settings)),
+      role_(role),
+      services_(std::move(services)),
+      events_(std::move(events)),
+      incarnation_(std::chrono::duration_cast<std::chrono::milliseconds>(
+                       clock_.WallNow().time_since_epoch())
+                       .count()),
+      peers_(settings_.name) {}
+
+host_runtime::~host_runtime() {
+  control_.Stop();
+  traffic_.Stop();
+}
+
+asio::any_io_executor host_runtime::traffic() {
+  return traffic_.At(0).get_executor();
+}
+
+asio::any_io_executor host_runtime::control() {
+  return control_.At(0).get_executor();
+}
+
+result<void> host_runtime::Open() {
+  auto client = http_client::Create();
+  if (!client) {
+    return Fail(client.error());
+  }
+  http_ = std::move(*client);
+  jobs_ = std::make_unique<job_store>(*services_.store, clock_);
+  inventory_ = std::make_unique<inventory>(
+      *services_.store, *services_.codec, clock_,
+      settings_.bounds.backend_drain, traffic(), control(),
+      inventory::listener{[this](std::shared_ptr<const service_map> next) {
+                            digests().Changed();
+                            events_.on_configuration(std::move(next));
+                          },
+                          [this] {
+                            pool_.SetBackends(
+                                stock().backends().Usable(clock_.Now()));
+                          }});
+  auto digests = gossip::Create(
+      traffic_.At(0), settings_.internal_listen, settings_.seeds, peers_,
+      clock_,
+      gossip::events{[this](load_digest& digest) { FillDigest(digest); },
+                     [this](const load_digest& digest) { OnDigest(digest); },
+                     [this](const std::string& peer) {
+                       pool_.ForgetPeer(peer);
+                       events_.on_silent(peer);
+                     }});
+  if (!digests) {
+    return Fail(digests.error());
+  }
+  gossip_ = std::move(*digests);
+  http_server_options options;
+  options.listen = settings_.internal_listen;
+  auto server = http_server::Create(
+      options, traffic_,
+      [this](http_exchange& exchange) { return HandleInternal(exchange); });
+  if (!server) {
+    return Fail(server.error());
+  }
+  internal_server_ = std::move(*server);
+  return {};
+}
+
+void host_runtime::Start() {
+  log_.Info("The host starts.",
+            {{"host", settings_.name},
+             {"role", role_ == host_role::gateway ? "gateway" : "worker"},
+             {"zone", settings_.zone},
+             {"internal", settings_.internal_listen.ToString()},
+             {"incarnation", incarnation_},
+             {"first_start", settings_.first_start ? "yes" : "no"}});
+  internal_server_->Start();
+  inventory_->Start();
+  gossip_->Start();
+  FollowHosts();
+  asio::co_spawn(control(), Register(), kEndOnException);
+  asio::co_spawn(traffic(), CatchUpFromPeers(), kEndOnException);
+  asio::co_spawn(traffic(), RefreshBackends(), kEndOnException);
+}
+
+void host_runtime::StartDraining() {
+  draining_ = true;
+  gossip_->Changed();
+}
+
+void host_runtime::Began(const std::string& backend, work_class work) {
+  pool_.Began(backend, work);
+  gossip_->Changed();
+}
+
+void host_runtime::Ended(const std::string& backend, work_class work) {
+  pool_.Ended(backend, work);
+  gossip_->Changed();
+}
+
+void host_runtime::FollowHosts() {
+  const auto add = [this](const store_record& record) {
+    auto entry = DecodeHost(record);
+    if (!entry) {
+      log_.Warning(
+          "A host's entry cannot be read.",
+          {{"host", record.name}, {"reason", entry.error().message()}});
+      return;
+    }
+    asio::post(traffic(), [this, entry = std::move(*entry)]() mutable {
+      peers_.Add(std::move(entry), clock_.Now());
+      gossip_->Changed();
+    });
+  };
+  follower_events events;
+  events.on_snapshot = [add](const store_snapshot& snapshot) {
+    for (const store_record& record : snapshot.records) {
+      add(record);
+    }
+  };
+  events.on_change = [add](const store_change& change, std::uint64_t) {
+    // A host that left is found silent; its entry says nothing more.
+    if (!change.removed) {
+      add(change.record);
+    }
+  };
+  events.on_contact = [](bool) {};
+  host_follower_ = std::make_unique<object_follower>(
+      *services_.store, clock_, kHostKind, std::move(events));
+  asio::co_spawn(control(), host_follower_->Run(), kEndOnException);
+}
+
+asio::awaitable<void> host_runtime::Register() {
+  backoff delay(kFirstRetry, kMostRetry, Hash64(settings_.name));
+  const std::string value = EncodeHost(settings_.internal_listen, role_);
+  while (true) {
+    result<store_record> written =
+        co_await store().Create(kHostKind, settings_.name, value);
+    if (!written && written.error().kind() == error_kind::conflict) {
+      const auto held = co_await store().Get(kHostKind, settings_.name);
+      if (held && *held) {
+        if ((*held)->value == value) {
+          co_return;
+        }
+        written = co_await store().Replace(kHostKind, settings_.name, value,
+                                           (*held)->revision);
+      }
+    }
+    if (written) {
+      log_.Info("The host is registered.",
+                {{"host", settings_.name}, {"revision", written->revision}});
+      co_return;
+    }
+    co_await SleepFor(delay.Next());
+  }
+}
+
+asio::awaitable<void> host_runtime::CatchUpFromPeers() {
+  std::size_t turn = 0;
+  while (true) {
+    const time_point slept = clock_.Now();
+    co_await SleepFor(kCatchUpPeriod);
+    lag_ = (lag_ * 3 + std::chrono::duration_cast<std::chrono::milliseconds>(
+                           clock_.Now() - slept - kCatchUpPeriod)) /
+           4;
+    const auto own_age = stock().store_age();
+    const bool stale = !own_age || *own_age > kStoreStale;
+    const auto own_revision = static_cast<std::int64_t>(
+        stock().configuration() ? stock().configuration()->revision() : 0);
+    std::vector<const peer_state*> candidates;
+    for (const auto& [name, peer] : peers_.peers()) {
+      const bool newer = peer.digest.configuration_revision > own_revision;
+      const bool in_contact =
+          peer.digest.store_contact_age &&
+          (!own_age || *peer.digest.store_contact_age < *own_age);
+      if (peers_.Live(peer, clock_.Now()) && (newer || (stale && in_contact))) {
+        candidates.push_back(&peer);
+      }
+    }
+    if (candidates.empty()) {
+      continue;
+    }
+    const peer_state& peer = *candidates[turn++ % candidates.size()];
+    const std::string name = peer.host.name;
+    call_options options;
+    options.connect_timeout = kPeerTimeout;
+    options.head_timeout = kPeerTimeout;
+    options.idle_timeout = kPeerTimeout;
+    options.reuse_connection = true;
+    http_request request;
+    request.target = kInventoryPath;
+    const auto answer =
+        co_await http_->Fetch(peer.host.address, request, options);
+    if (!answer || answer->status != 200) {
+      log_.Warning(
+          "A peer does not give its inventory.",
+          {{"peer", name},
+           {"reason", answer ? "status " + std::to_string(answer->status)
+                             : answer.error().message()}});
+      continue;
+    }
+    const auto snapshot = Decode<inventory_snapshot>(answer->body);
+    if (!snapshot) {
+      log_.Warning("A peer's inventory cannot be read.",
+                   {{"peer", name}, {"reason", snapshot.error().message()}});
+      continue;
+    }
+    stock().Adopt(*snapshot, name);
+  }
+}
+
+asio::awaitable<void> host_runtime::RefreshBackends() {
+  while (true) {
+    co_await SleepFor(kRefreshPeriod);
+    pool_.SetBackends(stock().backends().Usable(clock_.Now()));
+  }
+}
+
+void host_runtime::FillDigest(load_digest& digest) {
+  digest.host = settings_.name;
+  digest.address = settings_.internal_listen.ToString();
+  digest.zone = settings_.zone;
+  digest.role = role_;
+  digest.incarnation = incarnation_;
+  digest.draining = draining_;
+  digest.configuration_revision = static_cast<std::int64_t>(
+      stock().configuration() ? stock().configuration()->revision() : 0);
+  digest.loads = pool_.OwnLoads();
+  digest.store_contact_age = stock().store_age();
+  events_.fill_digest(digest);
+}
+
+void host_runtime::OnDigest(const load_digest& digest) {
+  pool_.SetPeerLoads(digest.host, digest.loads);
+  events_.on_digest(digest);
+}
+
+asio::awaitable<void> host_runtime::HandleInternal(http_exchange& exchange) {
+  const std::string& target = exchange.request().target;
+  if (target == kInventoryPath) {
+    http_response answer;
+    answer.body = Encode(stock().Snapshot());
+    co_await exchange.Send(std::move(answer));
+    co_return;
+  }
+  if (target == kMetricsPath) {
+    http_response answer;
+    answer.headers.Set("Content-Type", "text/plain; version=0.0.4");
+    answer.body = metrics_.Expose();
+    co_await exchange.Send(std::move(answer));
+    co_return;
+  }
+  co_await events_.on_internal(exchange);
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -0,0 +1,123 @@
+#ifndef CARDAMOMYARD_GATEWAY_HOST_RUNTIME_H_
+#define CARDAMOMYARD_GATEWAY_HOST_RUNTIME_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/fleet.h"
+#include "cardamomyard/jobs.h"
+#include "cardamomyard/net.h"
+#include "cardamomyard/store.h"
+#include "cardamomyard/telemetry.h"
+#include "cardamomyard/wire.h"
+#include "src/gateway/gossip.h"
+#include "src/gateway/host_settings.h"
+#include "src/gateway/inventory.h"
+#include "src/gateway/protocol.h"
+
+namespace cardamomyard {
+
+/// \brief What a platform provides to a host of the system.
+struct platform_services {
+  std::unique_ptr<object_store> store;
+  std::unique_ptr<protocol> codec;
+};
+
+/// \brief What gateways and workers share: inventory, peers, load of the
+/// backend servers, internal server, registration of the host.
+///
+/// One traffic thread runs requests, digests and every decision, so this state
+/// needs no lock. The control thread follows the store.
+class host_runtime {
+ public:
+  struct role_events {
+    std::function<void(load_digest&)> fill_digest;
+    std::function<void(const load_digest&)> on_digest;
+    std::function<void(const std::string& peer)> on_silent;
+    std::function<void(std::shared_ptr<const service_map>)> on_configuration;
+    /// Calls of other hosts that are not the runtime's own.
+    std::function<boost::asio::awaitable<void>(http_exchange&)> on_internal;
+  };
+
+  static result<std::unique_ptr<host_runtime>> Create(
+      host_settings settings,
+      host_role role,
+      platform_services services,
+      role_events events);
+  ~host_runtime();
+  host_runtime(const host_runtime&) = delete;
+  host_runtime& operator=(const host_runtime&) = delete;
+
+  void Start();
+  /// Tells the peers that this host takes no new work.
+  void StartDraining();
+  bool draining() const { return draining_; }
+
+  const host_settings& settings() const { return settings_; }
+  const clock& time() const { return clock_; }
+  metrics_registry& metrics() { return metrics_; }
+  http_client& http() { return *http_; }
+  object_store& store() { return *services_.store; }
+  const protocol& codec() const { return *services_.codec; }
+  job_store& jobs() { return *jobs_; }
+  inventory& stock() { return *inventory_; }
+  peer_table& peers() { return peers_; }
+  backend_pool& pool() { return pool_; }
+  gossip& digests() { return *gossip_; }
+  thread_pool& traffic_threads() { return traffic_; }
+  boost::asio::any_io_executor traffic();
+  boost::asio::any_io_executor control();
+  std::int64_t incarnation() const { return incarnation_; }
+
+  /// A request or item began or ended at a server.
+  void Began(const std::string& backend, work_class work);
+  void Ended(const std::string& backend, work_class work);
+  /// \returns the smoothed delay with which the traffic thread runs its timers,
+  /// a sign of overload.
+  std::chrono::milliseconds lag() const { return lag_; }
+
+ private:
+  host_runtime(host_settings settings,
+               host_role role,
+               platform_services services,
+               role_events events);
+  result<void> Open();
+  boost::asio::awaitable<void> Register();
+  boost::asio::awaitable<void> CatchUpFromPeers();
+  boost::asio::awaitable<void> RefreshBackends();
+  boost::asio::awaitable<void> HandleInternal(http_exchange& exchange);
+  void FillDigest(load_digest& digest);
+  void OnDigest(const load_digest& digest);
+  void FollowHosts();
+
+  host_settings settings_;
+  host_role role_;
+  platform_services services_;
+  role_events events_;
+  host_clock clock_;
+  metrics_registry metrics_;
+  part_log log_{"host"};
+  std::int64_t incarnation_;
+  std::unique_ptr<http_client> http_;
+  std::unique_ptr<job_store> jobs_;
+  peer_table peers_;
+  backend_pool pool_;
+  std::unique_ptr<inventory> inventory_;
+  std::unique_ptr<gossip> gossip_;
+  std::unique_ptr<object_follower> host_follower_;
+  std::unique_ptr<http_server> internal_server_;
+  bool draining_ = false;
+  std::chrono::milliseconds lag_{0};
+  thread_pool traffic_{1};
+  thread_pool control_{1};
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_GATEWAY_HOST_RUNTIME_H_
--- /dev/null
+++ b/packages/gateway/src/gateway/internal_paths.h
@@ -0,0 +1,21 @@
+#ifndef CARDAMOMYARD_GATEWAY_INTERNAL_PATHS_H_
+#define CARDAMOMYARD_GATEWAY_INTERNAL_PATHS_H_
+
+namespace cardamomyard {
+
+/// Calls between hosts of the system; bodies are Thrift compact messages.
+/// Answers with an inventory_snapshot.
+inline constexpr const char* kInventoryPath = "/internal/inventory";
+/// Takes a job_page_request, answers with a job_page.
+inline constexpr const char* kJobPagePath = "/internal/job-page";
+/// Metrics in the text exposition format.
+inline constexpr const char* kMetricsPath = "/metrics";
+
+/// Kind of the store under which hosts register themselves.
+inline constexpr const char* kHostKind = "cardamomyard-host";
+/// Kind of the store under which workers renew their leases.
+inline constexpr const char* kLeaseKind = "cardamomyard-lease";
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_GATEWAY_INTERNAL_PATHS_H_
--- /dev/null
+++ b/packages/gateway/src/gateway/inventory.cc
@@ -0,0 +1,229 @@
+#include "src/gateway/inventory.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace cardamomyard {
+
+inventory::inventory(object_store& store,
+                     const protocol& codec,
+                     const clock& time,
+                     std::chrono::milliseconds drain_bound,
+                     boost::asio::any_io_executor traffic,
+                     boost::asio::any_io_executor control,
+                     listener events)
+    : store_(&store),
+      codec_(&codec),
+      clock_(&time),
+      traffic_(std::move(traffic)),
+      control_(std::move(control)),
+      events_(std::move(events)),
+      backends_(drain_bound) {}
+
+void inventory::ToTraffic(std::function<void()> work) {
+  boost::asio::post(traffic_, std::move(work));
+}
+
+void inventory::Start() {
+  FollowConfiguration();
+  FollowBackends();
+}
+
+void inventory::FollowConfiguration() {
+  const auto take = [this](const store_record& record) {
+    if (record.name == codec_->configuration_name()) {
+      ToTraffic([this, record] {
+        last_contact_ = clock_->Now();
+        TakeConfiguration(record, "store");
+      });
+    }
+  };
+  follower_events events;
+  events.on_snapshot = [take](const store_snapshot& snapshot) {
+    for (const store_record& record : snapshot.records) {
+      take(record);
+    }
+  };
+  events.on_change = [take](const store_change& change, std::uint64_t) {
+    // The configuration stays in force when its record is removed.
+    if (!change.removed) {
+      take(change.record);
+    }
+  };
+  events.on_contact = [this](bool in_contact) {
+    ToTraffic([this, in_contact] { Touched(in_contact); });
+  };
+  configuration_follower_ = std::make_unique<object_follower>(
+      *store_, *clock_, codec_->configuration_kind(), std::move(events));
+  boost::asio::co_spawn(control_, configuration_follower_->Run(),
+                        kEndOnException);
+}
+
+void inventory::FollowBackends() {
+  follower_events events;
+  events.on_snapshot = [this](const store_snapshot& snapshot) {
+    ToTraffic([this, snapshot] {
+      std::map<std::string, store_record> listed;
+      std::vector<backend_entry> entries;
+      for (const store_record& record : snapshot.records) {
+        listed[record.name] = record;
+        if (auto entry = codec_->ReadBackend(record)) {
+          entries.push_back(std::move(*entry));
+        }
+      }
+      log_.Info("The backend servers are listed.",
+                {{"listed", listed.size()},
+                 {"usable", entries.size()},
+                 {"revision", snapshot.revision}});
+      backend_records_ = std::move(listed);
+      backends_.Replace(std::move(entries), clock_->Now());
+      listed_ = true;
+      last_contact_ = clock_->Now();
+      events_.on_backends();
+    });
+  };
+  events.on_change = [this](const store_change& change,
+                            std::uint64_t revision) {
+    ToTraffic([this, change, revision] {
+      last_contact_ = clock_->Now();
+      if (change.removed) {
+        RemoveBackend(change.record.name, revision);
+      } else {
+        TakeBackend(change.record);
+      }
+      events_.on_backends();
+    });
+  };
+  events.on_contact = [this](bool in_contact) {
+    ToTraffic([this, in_contact] {
+      if (in_contact) {
+        backends_.ContactRegained(clock_->Now());
+      }
+      Touched(in_contact);
+    });
+  };
+  backend_follower_ = std::make_unique<object_follower>(
+      *store_, *clock_, codec_->backend_kind(), std::move(events));
+  boost::asio::co_spawn(control_, backend_follower_->Run(), kEndOnException);
+}
+
+void inventory::Touched(bool in_contact) {
+  in_contact_ = in_contact;
+  if (in_contact) {
+    last_contact_ = clock_->Now();
+  }
+}
+
+void inventory::TakeConfiguration(const store_record& record,
+                                  std::string_view source) {
+  if (configuration_ && record.revision <= configuration_->revision()) {
+    return;
+  }
+  auto read = codec_->ReadConfiguration(record);
+  if (!read) {
+    log_.Error("A configuration cannot be read; the last one stays in force.",
+               {{"revision", record.revision},
+                {"source", source},
+                {"reason", read.error().message()}});
+    return;
+  }
+  configuration_ = std::make_shared<const service_map>(std::move(*read));
+  configuration_record_ = record;
+  log_.Info("A configuration is in force.",
+            {{"version", configuration_->version()},
+             {"revision", record.revision},
+             {"source", source},
+             {"routes", configuration_->routes().size()},
+             {"accounts", configuration_->accounts().size()}});
+  events_.on_configuration(configuration_);
+}
+
+void inventory::TakeBackend(const store_record& record) {
+  const auto entry = codec_->ReadBackend(record);
+  backend_records_[record.name] = record;
+  if (!entry) {
+    log_.Warning("A backend server's entry cannot be used.",
+                 {{"backend", record.name},
+                  {"revision", record.revision},
+                  {"reason", entry.error().message()}});
+    backends_.Remove(record.name, clock_->Now());
+    return;
+  }
+  log_.Info("A backend server's entry changed.",
+            {{"backend", entry->id},
+             {"service", entry->service},
+             {"address", entry->address.ToString()},
+             {"state", entry->draining ? "draining" : "ready"},
+             {"revision", record.revision}});
+  backends_.Upsert(*entry, clock_->Now());
+}
+
+void inventory::RemoveBackend(const std::string& name, std::uint64_t revision) {
+  log_.Info("A backend server's entry is gone.",
+            {{"backend", name}, {"revision", revision}});
+  backend_records_.erase(name);
+  backends_.Remove(name, clock_->Now());
+}
+
+std::optional<std::chrono::milliseconds> inventory::store_age() const {
+  if (!last_contact_) {
+    return std::nullopt;
+  }
+  if (in_contact_) {
+    return std::chrono::milliseconds(0);
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(clock_->Now() -
+                                                               *last_contact_);
+}
+
+inventory_snapshot inventory::Snapshot() const {
+  inventory_snapshot snapshot;
+  if (configuration_) {
+    snapshot.configuration = configuration_record_.value;
+    snapshot.configuration_revision =
+        static_cast<std::int64_t>(configuration_record_.revision);
+  }
+  for (const auto& [name, record] : backend_records_) {
+    snapshot.backends.push_back(
+        {name, record.value, static_cast<std::int64_t>(record.revision)});
+  }
+  snapshot.store_contact_age = store_age();
+  return snapshot;
+}
+
+void inventory::Adopt(const inventory_snapshot& snapshot,
+                      const std::string& peer) {
+  if (snapshot.configuration_revision > 0) {
+    TakeConfiguration(
+        {codec_->configuration_name(), snapshot.configuration,
+         static_cast<std::uint64_t>(snapshot.configuration_revision)},
+        peer);
+  }
+  // A peer in contact knows the servers better than this host.
+  const auto own = store_age();
+  if (snapshot.backends.empty() || !snapshot.store_contact_age ||
+      (own && *own <= *snapshot.store_contact_age)) {
+    return;
+  }
+  std::vector<backend_entry> entries;
+  backend_records_.clear();
+  for (const inventory_record& held : snapshot.backends) {
+    const store_record record{held.name, held.value,
+                              static_cast<std::uint64_t>(held.revision)};
+    backend_records_[held.name] = record;
+    if (auto entry = codec_->ReadBackend(record)) {
+      entries.push_back(std::move(*entry));
+    }
+  }
+  log_.Info("The backend servers are taken over from a peer.",
+            {{"peer", peer},
+             {"usable", entries.size()},
+             {"peer_store_age_ms", snapshot.store_contact_age->count()},
+             {"own_store_age_ms", own ? own->count() : -1}});
+  backends_.Replace(std::move(entries), clock_->Now());
+  listed_ = true;
+  events_.on_backends();
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/job_frontend.cc
@@ -0,0 +1,345 @@
+#include "src/gateway/job_frontend.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/gateway/internal_paths.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+
+namespace {
+
+// A caller of a batch route waits some seconds for its answer.
+constexpr std::chrono::milliseconds kStoreDeadline{2500};
+constexpr std::chrono::milliseconds kEndDeadline{2500};
+constexpr std::chrono::milliseconds kMostWait{1000};
+constexpr std::chrono::milliseconds kPeerConnect{200};
+constexpr std::chrono::milliseconds kPeerAnswer{600};
+// One answer with results stays below this (the callers' limit is 1 MB).
+constexpr std::size_t kMaxPageBytes = 700'000;
+// A worker counts an accepted job in its backlog within this time.
+constexpr std::chrono::milliseconds kBacklogDelay{1500};
+// The backlog of a silent worker still counts until others have taken over.
+constexpr std::chrono::seconds kBacklogMemory{15};
+constexpr std::size_t kMaxOwners = 10'000;
+constexpr std::size_t kMaxInputs = 4;
+
+}  // namespace
+
+job_frontend::job_frontend(host_runtime& host) : host_(&host) {}
+
+void job_frontend::OnDigest(const load_digest& digest) {
+  if (digest.role == host_role::worker) {
+    backlogs_[digest.host] = {digest.backlogs, host_->time().Now()};
+  }
+}
+
+std::int64_t job_frontend::WaitingTokens(const std::string& account,
+                                         const std::string& route) {
+  const time_point now = host_->time().Now();
+  std::erase_if(recent_,
+                [now](const auto& job) { return now >= job.second.until; });
+  std::erase_if(backlogs_, [now](const auto& told) {
+    return now - told.second.heard > kBacklogMemory;
+  });
+  std::int64_t tokens = 0;
+  for (const auto& [id, job] : recent_) {
+    if (job.account == account && job.route == route) {
+      tokens += job.tokens;
+    }
+  }
+  for (const auto& [worker, told] : backlogs_) {
+    for (const batch_backlog& backlog : told.backlogs) {
+      if (backlog.account == account && backlog.route == route) {
+        tokens += backlog.tokens;
+      }
+    }
+  }
+  return tokens;
+}
+
+std::string job_frontend::ChooseOwner(const std::string& job) const {
+  std::vector<std::string> names;
+  for (const peer_state* worker :
+       host_->peers().LivePeers(host_role::worker, host_->time().Now())) {
+    names.push_back(worker->host.name);
+  }
+  const auto top = RendezvousTop(names, job, 1);
+  return top.empty() ? "" : top.front();
+}
+
+http_response job_frontend::Refuse(const error& cause,
+                                   const caller_request& caller,
+                                   std::string_view job) const {
+  log_.Info("A call about a batch job was refused.",
+            {{"request", caller.id},
+             {"job", job},
+             {"kind", ToString(cause.kind())},
+             {"ran", ToString(cause.ran())},
+             {"reason", cause.message()}});
+  return host_->codec().Refusal(cause, caller.id);
+}
+
+asio::awaitable<http_response> job_frontend::Submit(
+    const caller_request& caller,
+    const service_route& route,
+    const std::string& account,
+    std::string body) {
+  const time_point began = host_->time().Now();
+  const result<job_input> input = host_->codec().ReadSubmission(body);
+  body.clear();
+  if (!input) {
+    co_return Refuse(input.error(), caller, caller.id);
+  }
+  job_record record;
+  record.id = caller.id;
+  record.account = account;
+  record.route = route.name;
+  record.host = route.host;
+  record.owner = ChooseOwner(record.id);
+  record.total = static_cast<std::int64_t>(input->items.size());
+  record.tokens = input->tokens();
+  record.submitted_unix_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          host_->time().WallNow().time_since_epoch())
+          .count();
+  const std::int64_t waiting = WaitingTokens(account, route.name);
+  if (route.waiting_token_cap > 0 && !recent_.contains(record.id) &&
+      waiting + record.tokens > route.waiting_token_cap) {
+    // A repeat of a job that was accepted before is accepted again.
+    const auto held = co_await host_->jobs().Read(record.id);
+    if (!held) {
+      co_return Refuse(held.error().WithOutcome(outcome::may_have_run), caller,
+                       record.id);
+    }
+    if (!*held) {
+      co_return Refuse(
+          error::Make(error_kind::rate_limited,
+                      std::to_string(waiting) + " tokens wait, the job has " +
+                          std::to_string(record.tokens) + ", the cap is " +
+                          std::to_string(route.waiting_token_cap)),
+          caller, record.id);
+    }
+  } else {
+    // Counted before the store answers, so that jobs that arrive together do
+    // not each take the same room.
+    recent_[record.id] = {account, route.name, record.tokens,
+                          began + kStoreDeadline + kBacklogDelay};
+    const result<void> stored =
+        co_await host_->jobs().Accept(record, *input, began + kStoreDeadline);
+    if (!stored) {
+      recent_.erase(record.id);
+      const error cause = stored.error();
+      co_return Refuse(cause.ran() == outcome::not_run
+                           ? cause
+                           : error::Make(error_kind::timeout, cause.message()),
+                       caller, record.id);
+    }
+    recent_[record.id].until = host_->time().Now() + kBacklogDelay;
+  }
+  log_.Info("A batch job is accepted.",
+            {{"request", caller.id},
+             {"job", record.id},
+             {"account", account},
+             {"route", route.name},
+             {"items", record.total},
+             {"tokens", record.tokens},
+             {"waiting_tokens", waiting},
+             {"owner", record.owner},
+             {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                        host_->time().Now() - began)
+                        .count()}});
+  host_->metrics().Counter("cardamomyard_jobs_accepted_total").Add();
+  co_return host_->codec().JobAccepted();
+}
+
+asio::awaitable<http_response> job_frontend::Call(const caller_request& caller,
+                                                  const job_call& call,
+                                                  const std::string& account) {
+  if (const auto* read = std::get_if<read_job>(&call)) {
+    co_return co_await Read(caller, *read, account);
+  }
+  if (const auto* item = std::get_if<read_job_item>(&call)) {
+    co_return co_await ReadItem(caller, *item, account);
+  }
+  co_return co_await End(caller, std::get<end_job>(call), account);
+}
+
+asio::awaitable<http_response> job_frontend::Read(const caller_request& caller,
+                                                  read_job call,
+                                                  std::string account) {
+  call.wait = std::min(call.wait, kMostWait);
+  result<job_page> page = job_page{};
+  if (auto owned = co_await AskWorkers(call, account)) {
+    page = std::move(*owned);
+  } else {
+    page = co_await ReadFromStore(call, account);
+  }
+  if (!page) {
+    co_return Refuse(page.error(), caller, call.job);
+  }
+  const std::int64_t next =
+      call.after + static_cast<std::int64_t>(page->results.size());
+  co_return host_->codec().JobResults(page->total, next, page->results);
+}
+
+asio::awaitable<std::optional<job_page>> job_frontend::AskWorkers(
+    const read_job& call,
+    const std::string& account) {
+  // The owner told last, then the one that a new job would get.
+  std::vector<std::string> order;
+  const auto add = [&order](const std::string& name) {
+    if (!name.empty() &&
+        std::find(order.begin(), order.end(), name) == order.end()) {
+      order.push_back(name);
+    }
+  };
+  if (const auto known = owners_.find(call.job); known != owners_.end()) {
+    add(known->second);
+  }
+  add(ChooseOwner(call.job));
+  for (const peer_state* worker :
+       host_->peers().LivePeers(host_role::worker, host_->time().Now())) {
+    add(worker->host.name);
+  }
+  job_page_request question{call.job, account, call.after, call.wait};
+  for (const std::string& name : order) {
+    const peer_state* worker = host_->peers().Find(name);
+    if (worker == nullptr ||
+        !host_->peers().Live(*worker, host_->time().Now())) {
+      continue;
+    }
+    http_request request;
+    request.method = "POST";
+    request.target = kJobPagePath;
+    request.body = Encode(question);
+    call_options options;
+    options.connect_timeout = kPeerConnect;
+    options.head_timeout = kPeerAnswer + call.wait;
+    options.idle_timeout = kPeerAnswer;
+    options.reuse_connection = true;
+    const auto answer =
+        co_await host_->http().Fetch(worker->host.address, request, options);
+    if (!answer || answer->status != 200) {
+      log_.Warning(
+          "A worker does not answer for a batch job.",
+          {{"job", call.job},
+           {"worker", name},
+           {"reason", answer ? "status " + std::to_string(answer->status)
+                             : answer.error().message()}});
+      continue;
+    }
+    auto page = Decode<job_page>(answer->body);
+    if (!page) {
+      log_.Warning("A worker's answer cannot be read.",
+                   {{"job", call.job},
+                    {"worker", name},
+                    {"reason", page.error().message()}});
+      continue;
+    }
+    if (page->state == job_page_state::known) {
+      if (owners_.size() >= kMaxOwners) {
+        owners_.clear();
+      }
+      owners_[call.job] = name;
+      co_return std::move(*page);
+    }
+  }
+  owners_.erase(call.job);
+  co_return std::nullopt;
+}
+
+asio::awaitable<result<job_page>> job_frontend::ReadFromStore(
+    const read_job& call,
+    const std::string& account) {
+  const auto job = co_await host_->jobs().Read(call.job);
+  if (!job) {
+    co_return Fail(job.error().WithOutcome(outcome::not_run));
+  }
+  if (!*job || (*job)->record.account != account) {
+    co_return Fail(error_kind::not_found, "there is no batch job " + call.job);
+  }
+  job_page page;
+  page.state = job_page_state::known;
+  page.total = (*job)->record.total;
+  const auto stored = co_await host_->jobs().ReadResults(call.job);
+  if (!stored) {
+    co_return Fail(stored.error().WithOutcome(outcome::not_run));
+  }
+  auto results = co_await host_->jobs().ReadFrom(call.job, stored->results,
+                                                 call.after, kMaxPageBytes);
+  if (!results) {
+    co_return Fail(results.error().WithOutcome(outcome::not_run));
+  }
+  page.results = std::move(*results);
+  const bool may_grow =
+      !(*job)->record.finished && stored->results.count() < page.total;
+  if (page.results.empty() && may_grow) {
+    // The caller asks again; an empty answer at once would only make it ask
+    // faster.
+    co_await SleepFor(call.wait);
+  }
+  co_return page;
+}
+
+asio::awaitable<http_response> job_frontend::ReadItem(
+    const caller_request& caller,
+    read_job_item call,
+    std::string account) {
+  const auto job = co_await host_->jobs().Read(call.job);
+  if (!job) {
+    co_return Refuse(job.error().WithOutcome(outcome::not_run), caller,
+                     call.job);
+  }
+  if (!*job || (*job)->record.account != account || (*job)->record.ended) {
+    co_return Refuse(error::Make(error_kind::not_found,
+                                 "there is no open batch job " + call.job),
+                     caller, call.job);
+  }
+  std::shared_ptr<const job_input> input;
+  for (const auto& [id, held] : inputs_) {
+    if (id == call.job) {
+      input = held;
+    }
+  }
+  if (input == nullptr) {
+    auto read = co_await host_->jobs().ReadInput((*job)->record);
+    if (!read) {
+      co_return Refuse(read.error().WithOutcome(outcome::not_run), caller,
+                       call.job);
+    }
+    input = std::make_shared<const job_input>(std::move(*read));
+    inputs_.emplace_front(call.job, input);
+    if (inputs_.size() > kMaxInputs) {
+      inputs_.pop_back();
+    }
+  }
+  const job_item* item = input->Find(call.item);
+  if (item == nullptr) {
+    co_return Refuse(
+        error::Make(error_kind::not_found, "the job has no item " + call.item),
+        caller, call.job);
+  }
+  co_return host_->codec().JobItemBody(item->body);
+}
+
+asio::awaitable<http_response> job_frontend::End(const caller_request& caller,
+                                                 end_job call,
+                                                 std::string account) {
+  const result<void> ended = co_await host_->jobs().End(
+      call.job, account, host_->time().Now() + kEndDeadline);
+  if (!ended) {
+    // It may be ended all the same; the caller has to ask again.
+    const error& cause = ended.error();
+    co_return Refuse(cause.kind() == error_kind::not_found
+                         ? cause
+                         : error::Make(error_kind::timeout, cause.message()),
+                     caller, call.job);
+  }
+  log_.Info("A batch job is ended by its caller.",
+            {{"request", caller.id}, {"job", call.job}, {"account", account}});
+  co_return host_->codec().JobEnded();
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/job_frontend.h
@@ -0,0 +1,90 @@
+#ifndef CARDAMOMYARD_GATEWAY_JOB_FRONTEND_H_
+#define CARDAMOMYARD_GATEWAY_JOB_FRONTEND_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/fleet.h"
+#include "cardamomyard/jobs.h"
+#include "cardamomyard/net.h"
+#include "cardamomyard/wire.h"
+#include "src/gateway/host_runtime.h"
+#include "src/gateway/protocol.h"
+
+namespace cardamomyard {
+
+/// \brief The callers' side of batch jobs: submission, reading, ending.
+///
+/// A job is accepted when its record is in the store. Results come from the
+/// worker that owns the job, and from the store when that worker does not
+/// answer; both only ever show results that are stored.
+class job_frontend {
+ public:
+  explicit job_frontend(host_runtime& host);
+
+  boost::asio::awaitable<http_response> Submit(const caller_request& caller,
+                                               const service_route& route,
+                                               const std::string& account,
+                                               std::string body);
+  boost::asio::awaitable<http_response> Call(const caller_request& caller,
+                                             const job_call& call,
+                                             const std::string& account);
+  /// Forgets a peer's backlog when it is gone for good.
+  void OnDigest(const load_digest& digest);
+
+ private:
+  boost::asio::awaitable<http_response> Read(const caller_request& caller,
+                                             read_job call,
+                                             std::string account);
+  boost::asio::awaitable<http_response> ReadItem(const caller_request& caller,
+                                                 read_job_item call,
+                                                 std::string account);
+  boost::asio::awaitable<http_response> End(const caller_request& caller,
+                                            end_job call,
+                                            std::string account);
+  /// Asks workers for results. \returns nothing when none is surely the owner.
+  boost::asio::awaitable<std::optional<job_page>> AskWorkers(
+      const read_job& call,
+      const std::string& account);
+  boost::asio::awaitable<result<job_page>> ReadFromStore(
+      const read_job& call,
+      const std::string& account);
+  /// \returns the tokens that an account has waiting on a route.
+  std::int64_t WaitingTokens(const std::string& account,
+                             const std::string& route);
+  /// \returns the worker that a new job goes to, empty when none is live.
+  std::string ChooseOwner(const std::string& job) const;
+  http_response Refuse(const error& cause,
+                       const caller_request& caller,
+                       std::string_view job) const;
+
+  struct recent_job {
+    std::string account;
+    std::string route;
+    std::int64_t tokens = 0;
+    time_point until;
+  };
+  /// Backlogs as each worker last told them.
+  struct told_backlog {
+    std::vector<batch_backlog> backlogs;
+    time_point heard;
+  };
+
+  host_runtime* host_;
+  part_log log_{"jobs"};
+  std::map<std::string, recent_job> recent_;
+  std::map<std::string, told_backlog> backlogs_;
+  std::map<std::string, std::string> owners_;
+  // Inputs of jobs whose items were asked for, newest first.
+  std::list<std::pair<std::string, std::shared_ptr<const job_input>>> inputs_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_GATEWAY_JOB_FRONTEND_H_
--- /dev/null
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -0,0 +1,522 @@
+#include "src/gateway/job_runner.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+
+namespace {
+
+// Results that finish within this time share one write to the store.
+constexpr std::chrono::milliseconds kFlushDelay{150};
+constexpr std::chrono::milliseconds kFirstRetry{80};
+constexpr std::chrono::milliseconds kMostRetry{1000};
+constexpr std::size_t kLoadPageBytes = 4U << 20U;
+// Runs of one item that broke off without an event, after which it waits
+// longer and longer, as it may be what breaks the servers.
+constexpr int kBreaksBeforePause = 3;
+constexpr std::chrono::milliseconds kBreakPause{3000};
+// Assumed for a batch route that names no bounds.
+constexpr std::chrono::hours kDefaultRetention{24};
+
+std::chrono::milliseconds OrDefault(std::chrono::milliseconds bound) {
+  return bound.count() > 0 ? bound : kDefaultRetention;
+}
+
+}  // namespace
+
+job_runner::job_runner(host_runtime& host) : host_(&host) {}
+
+owned_job* job_runner::Find(const std::string& job) {
+  const auto found = jobs_.find(job);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+bool job_runner::has_open_jobs() const {
+  return std::any_of(jobs_.begin(), jobs_.end(), [](const auto& job) {
+    return !job.second->stored.record.finished;
+  });
+}
+
+bool job_runner::idle() const {
+  return runs_.empty() &&
+         std::none_of(jobs_.begin(), jobs_.end(), [](const auto& job) {
+           return job.second->flushing || !job.second->fresh.empty();
+         });
+}
+
+void job_runner::Own(stored_job job) {
+  const std::string id = job.record.id;
+  owned_job* held = Find(id);
+  if (held == nullptr) {
+    if (job.record.finished || stopping_) {
+      return;
+    }
+    auto made = std::make_unique<owned_job>();
+    made->stored = std::move(job);
+    made->changed = std::make_unique<asio::steady_timer>(host_->traffic());
+    jobs_[id] = std::move(made);
+    asio::co_spawn(host_->traffic(), Load(id), kEndOnException);
+    return;
+  }
+  if (job.revision <= held->stored.revision) {
+    return;
+  }
+  held->stored = std::move(job);
+  if (held->stored.record.ended) {
+    CancelEnded(*held);
+  }
+}
+
+void job_runner::Drop(const std::string& job) {
+  if (jobs_.erase(job) == 0) {
+    return;
+  }
+  log_.Info("A batch job belongs to another worker now.", {{"job", job}});
+  queue_.RemoveJob(job);
+  for (const auto& [name, run] : runs_) {
+    if (name.first == job) {
+      run->Stop();
+    }
+  }
+}
+
+void job_runner::StopAll() {
+  stopping_ = true;
+  for (const auto& [name, run] : runs_) {
+    run->Stop();
+  }
+}
+
+asio::awaitable<void> job_runner::Load(std::string job) {
+  backoff delay(kFirstRetry, kMostRetry, Hash64(job));
+  while (true) {
+    owned_job* held = Find(job);
+    if (held == nullptr) {
+      co_return;
+    }
+    // The bounds of the items come from the route.
+    if (host_->stock().configuration() == nullptr) {
+      co_await SleepFor(kFirstRetry);
+      continue;
+    }
+    auto input = co_await host_->jobs().ReadInput(held->stored.record);
+    auto results = co_await host_->jobs().ReadResults(job);
+    std::vector<job_item_result> listed;
+    error cause = error::Make(error_kind::store_unavailable, "");
+    bool complete = input && results;
+    while (complete && static_cast<std::int64_t>(listed.size()) <
+                           results->results.count()) {
+      auto page = co_await host_->jobs().ReadFrom(
+          job, results->results, static_cast<std::int64_t>(listed.size()),
+          kLoadPageBytes);
+      if (!page || page->empty()) {
+        complete = false;
+        cause = page ? error::Make(error_kind::internal, "an empty page")
+                     : page.error();
+        break;
+      }
+      std::move(page->begin(), page->end(), std::back_inserter(listed));
+    }
+    held = Find(job);
+    if (held == nullptr) {
+      co_return;
+    }
+    if (complete) {
+      held->input = std::make_shared<const job_input>(std::move(*input));
+      held->results = std::move(*results);
+      held->listed = std::move(listed);
+      for (const job_item_result& entry : held->listed) {
+        held->settled.insert(entry.item);
+      }
+      held->loaded = true;
+      log_.Info("A batch job is loaded.",
+                {{"job", job},
+                 {"items", held->stored.record.total},
+                 {"listed", held->listed.size()},
+                 {"revision", held->stored.revision}});
+      QueueItems(*held);
+      if (held->stored.record.ended) {
+        CancelEnded(*held);
+      } else if (held->listed.size() == held->input->items.size()) {
+        co_await Finish(job);
+      }
+      Schedule();
+      co_return;
+    }
+    log_.Warning("A batch job cannot be loaded yet.",
+                 {{"job", job},
+                  {"reason", !input     ? input.error().message()
+                             : !results ? results.error().message()
+                                        : cause.message()}});
+    co_await SleepFor(delay.Next());
+  }
+}
+
+void job_runner::QueueItems(owned_job& job) {
+  const auto configuration = host_->stock().configuration();
+  const service_route* route =
+      configuration ? configuration->FindRoute(job.stored.record.route)
+                    : nullptr;
+  const time_point now = host_->time().Now();
+  const std::chrono::milliseconds age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          host_->time().WallNow().time_since_epoch()) -
+      std::chrono::milliseconds(job.stored.record.submitted_unix_ms);
+  const time_point submitted =
+      now - std::max(age, std::chrono::milliseconds(0));
+  item_limits limits;
+  limits.max_attempts = route != nullptr ? route->max_attempts : 1;
+  limits.due =
+      submitted + OrDefault(route != nullptr ? route->completion_objective
+                                             : std::chrono::milliseconds(0));
+  limits.expires =
+      submitted + OrDefault(route != nullptr ? route->retention
+                                             : std::chrono::milliseconds(0));
+  for (std::size_t i = 0; i < job.input->items.size(); ++i) {
+    const job_item& item = job.input->items[i];
+    if (!job.settled.contains(item.id)) {
+      open_item open;
+      open.job = job.stored.record.id;
+      open.item = item.id;
+      open.index = i;
+      open.limits = limits;
+      queue_.Add(std::move(open));
+    }
+  }
+}
+
+void job_runner::CancelEnded(owned_job& job) {
+  const std::string id = job.stored.record.id;
+  log_.Info("An ended batch job stops.",
+            {{"job", id}, {"revision", job.stored.revision}});
+  queue_.RemoveJob(id);
+  for (const auto& [name, run] : runs_) {
+    if (name.first == id) {
+      run->Stop();
+    }
+  }
+  if (job.loaded && !job.stored.record.finished) {
+    asio::co_spawn(host_->traffic(), Finish(id), kEndOnException);
+  }
+}
+
+void job_runner::Schedule() {
+  if (stopping_) {
+    return;
+  }
+  const time_point now = host_->time().Now();
+  GiveUpExpired(now);
+  const auto configuration = host_->stock().configuration();
+  if (configuration == nullptr) {
+    return;
+  }
+  std::set<std::string> services;
+  for (const service_route& route : configuration->routes()) {
+    if (route.kind == route_kind::batch) {
+      for (const service_share& share : route.services) {
+        services.insert(share.service);
+      }
+    }
+  }
+  for (const std::string& service : services) {
+    StopExcess(host_->pool().Status(service, now));
+  }
+  while (StartOne(now)) {
+  }
+}
+
+void job_runner::StopExcess(const std::vector<backend_status>& servers) {
+  for (const backend_status& server : servers) {
+    int excess = batch_placement::Excess(server);
+    if (excess <= 0) {
+      continue;
+    }
+    std::vector<std::pair<const open_item*, item_run*>> here;
+    for (const auto& [name, run] : runs_) {
+      const open_item* item = queue_.Find(name.first, name.second);
+      if (run->backend.id == server.entry.id && item != nullptr) {
+        if (run->stopped) {
+          // It counts until its connection is closed.
+          --excess;
+        } else {
+          here.emplace_back(item, run.get());
+        }
+      }
+    }
+    std::sort(here.begin(), here.end(), [](const auto& a, const auto& b) {
+      return item_queue::StopsBefore(*a.first, *b.first);
+    });
+    for (int i = 0; i < excess && i < static_cast<int>(here.size()); ++i) {
+      log_.Info("A batch item makes room.", {{"job", here[i].second->job},
+                                             {"item", here[i].second->item},
+                                             {"backend", server.entry.id},
+                                             {"online", server.online},
+                                             {"batch", server.batch},
+                                             {"slots", server.entry.slots}});
+      here[i].second->Stop();
+    }
+  }
+}
+
+bool job_runner::StartOne(time_point now) {
+  open_item* item = queue_.Next(now);
+  if (item == nullptr) {
+    return false;
+  }
+  owned_job* job = Find(item->job);
+  const auto configuration = host_->stock().configuration();
+  const service_route* route =
+      job != nullptr && configuration
+          ? configuration->FindRoute(job->stored.record.route)
+          : nullptr;
+  if (job == nullptr) {
+    queue_.RemoveJob(item->job);
+    return true;
+  }
+  if (route == nullptr) {
+    log_.Warning("The route of a batch item is gone.",
+                 {{"job", item->job},
+                  {"item", item->item},
+                  {"route", job->stored.record.route}});
+    Settle(*job, {item->item, false, ""});
+    return true;
+  }
+  const service_share& share =
+      route->services[service_turn_++ % route->services.size()];
+  const auto backend =
+      batch_placement::Choose(host_->pool().Status(share.service, now));
+  if (!backend) {
+    item->running = false;
+    return false;
+  }
+  auto run = std::make_shared<item_run>();
+  run->job = item->job;
+  run->item = item->item;
+  run->backend = *backend;
+  run->canceller = std::make_shared<call_canceller>();
+  runs_[{item->job, item->item}] = run;
+  host_->Began(backend->id, work_class::batch);
+  asio::co_spawn(
+      host_->traffic(),
+      Run(std::move(run), job->input, &job->input->items[item->index], *item,
+          route->host, job->stored.record.account),
+      kEndOnException);
+  return true;
+}
+
+asio::awaitable<void> job_runner::Run(
+    std::shared_ptr<item_run> run,
+    // Keeps the item alive when its job is dropped.
+    [[maybe_unused]] std::shared_ptr<const job_input> input,
+    const job_item* item,
+    open_item before,
+    std::string route_host,
+    std::string account) {
+  const time_point began = host_->time().Now();
+  const std::int64_t first_event = before.last_event;
+  item_run_result ended =
+      co_await RunItem(*host_, run, *item, std::move(before),
+                       std::move(route_host), std::move(account));
+  const time_point now = host_->time().Now();
+  host_->Ended(run->backend.id, work_class::batch);
+  if (ended.server_failed) {
+    host_->pool().Failed(run->backend.id, now);
+  } else if (ended.ending == item_ending::refused) {
+    host_->pool().Full(run->backend.id, now);
+  } else if (ended.ending == item_ending::completed) {
+    host_->pool().Succeeded(run->backend.id);
+  }
+  const auto entry = runs_.find({run->job, run->item});
+  if (entry != runs_.end() && entry->second == run) {
+    runs_.erase(entry);
+  }
+  log_.Info(
+      "A run of a batch item ended.",
+      {{"job", run->job},
+       {"item", run->item},
+       {"backend", run->backend.id},
+       {"status", ended.status},
+       {"ending", static_cast<int>(ended.ending)},
+       {"from_event", first_event},
+       {"last_event", ended.last_event},
+       {"stopped", run->stopped ? "yes" : "no"},
+       {"reason", ended.reason},
+       {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - began)
+                  .count()}});
+  open_item* open = queue_.Find(run->job, run->item);
+  owned_job* job = Find(run->job);
+  if (open != nullptr && job != nullptr) {
+    const bool progressed = ended.last_event > open->last_event;
+    open->text = std::move(ended.text);
+    open->last_event = ended.last_event;
+    open->any_event = ended.any_event;
+    open->breaks = progressed || !ended.server_failed ? 0 : open->breaks + 1;
+    const auto finished = queue_.Ended(*open, ended.ending, now);
+    if (open->breaks >= kBreaksBeforePause) {
+      open->not_before = now + kBreakPause * (open->breaks - 2);
+    }
+    if (finished) {
+      Settle(*job, {run->item, *finished,
+                    *finished ? std::move(open->text) : std::string()});
+    }
+  }
+  Schedule();
+}
+
+void job_runner::GiveUpExpired(time_point now) {
+  for (open_item* item : queue_.Expired(now)) {
+    if (owned_job* job = Find(item->job)) {
+      log_.Warning("A batch item is given up after its retention.",
+                   {{"job", item->job},
+                    {"item", item->item},
+                    {"failures", item->failures}});
+      Settle(*job, {item->item, false, ""});
+    }
+  }
+}
+
+void job_runner::Settle(owned_job& job, job_item_result entry) {
+  const std::string id = job.stored.record.id;
+  queue_.Erase(id, entry.item);
+  if (!job.settled.insert(entry.item).second) {
+    return;
+  }
+  host_->metrics()
+      .Counter("cardamomyard_batch_items_total",
+               {{"state", entry.completed ? "completed" : "failed"}})
+      .Add();
+  job.fresh.push_back(std::move(entry));
+  if (!job.flushing) {
+    job.flushing = true;
+    asio::co_spawn(host_->traffic(), Flush(id), kEndOnException);
+  }
+}
+
+asio::awaitable<void> job_runner::Flush(std::string id) {
+  backoff delay(kFirstRetry, kMostRetry, Hash64(id));
+  co_await SleepFor(kFlushDelay);
+  while (true) {
+    owned_job* job = Find(id);
+    if (job == nullptr) {
+      co_return;
+    }
+    if (job->fresh.empty()) {
+      job->flushing = false;
+      break;
+    }
+    std::vector<job_item_result> writing = std::move(job->fresh);
+    job->fresh.clear();
+    auto stored = co_await host_->jobs().Append(id, job->results, writing);
+    job = Find(id);
+    if (job == nullptr) {
+      co_return;
+    }
+    if (stored) {
+      job->results = std::move(*stored);
+      std::move(writing.begin(), writing.end(),
+                std::back_inserter(job->listed));
+      log_.Info("Results are stored.", {{"job", id},
+                                        {"listed", job->listed.size()},
+                                        {"items", job->stored.record.total},
+                                        {"revision", job->results.revision}});
+      delay.Reset();
+      job->changed->cancel();
+      continue;
+    }
+    log_.Warning("Results cannot be stored yet.",
+                 {{"job", id},
+                  {"results", writing.size()},
+                  {"revision", job->results.revision},
+                  {"kind", ToString(stored.error().kind())},
+                  {"reason", stored.error().message()}});
+    if (stored.error().kind() == error_kind::conflict) {
+      // Another worker listed results of this job. Start again from what is
+      // stored; items that are not listed run again.
+      const stored_job again = job->stored;
+      Drop(id);
+      Own(again);
+      co_return;
+    }
+    std::move(job->fresh.begin(), job->fresh.end(),
+              std::back_inserter(writing));
+    job->fresh = std::move(writing);
+    co_await SleepFor(delay.Next());
+  }
+  owned_job* job = Find(id);
+  if (job != nullptr && job->listed.size() == job->input->items.size()) {
+    co_await Finish(id);
+  }
+}
+
+asio::awaitable<void> job_runner::Finish(std::string id) {
+  backoff delay(kFirstRetry, kMostRetry, Hash64(id));
+  while (true) {
+    owned_job* job = Find(id);
+    if (job == nullptr || job->stored.record.finished) {
+      co_return;
+    }
+    job_record record = job->stored.record;
+    record.finished = true;
+    const auto written =
+        co_await host_->jobs().Update(record, job->stored.revision);
+    job = Find(id);
+    if (job == nullptr) {
+      co_return;
+    }
+    if (written) {
+      job->stored = {std::move(record), *written};
+      log_.Info("A batch job is finished.",
+                {{"job", id},
+                 {"listed", job->listed.size()},
+                 {"ended", job->stored.record.ended ? "yes" : "no"}});
+      job->changed->cancel();
+      co_return;
+    }
+    if (written.error().kind() == error_kind::conflict) {
+      auto held = co_await host_->jobs().Read(id);
+      job = Find(id);
+      if (job == nullptr || (held && !*held)) {
+        co_return;
+      }
+      if (held) {
+        if ((*held)->record.owner != host_->settings().name) {
+          Drop(id);
+          co_return;
+        }
+        job->stored = std::move(**held);
+        continue;
+      }
+    }
+    co_await SleepFor(delay.Next());
+  }
+}
+
+std::vector<batch_backlog> job_runner::Backlogs() const {
+  std::map<std::pair<std::string, std::string>, std::int64_t> sums;
+  for (const auto& [id, job] : jobs_) {
+    const job_record& record = job->stored.record;
+    if (record.finished || record.ended) {
+      continue;
+    }
+    std::int64_t tokens = record.tokens;
+    if (job->loaded) {
+      tokens = 0;
+      for (const job_item& item : job->input->items) {
+        tokens += job->settled.contains(item.id) ? 0 : item.tokens;
+      }
+    }
+    sums[{record.account, record.route}] += tokens;
+  }
+  std::vector<batch_backlog> backlogs;
+  for (const auto& [name, tokens] : sums) {
+    backlogs.push_back({name.first, name.second, tokens});
+  }
+  return backlogs;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/job_runner.h
@@ -0,0 +1,87 @@
+#ifndef CARDAMOMYARD_GATEWAY_JOB_RUNNER_H_
+#define CARDAMOMYARD_GATEWAY_JOB_RUNNER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/fleet.h"
+#include "cardamomyard/jobs.h"
+#include "cardamomyard/wire.h"
+#include "src/gateway/host_runtime.h"
+#include "src/gateway/item_run.h"
+
+namespace cardamomyard {
+
+/// \brief A job that this worker owns, with its results as stored.
+struct owned_job {
+  stored_job stored;
+  std::shared_ptr<const job_input> input;
+  stored_results results;
+  /// All stored results by position.
+  std::vector<job_item_result> listed;
+  /// Results that are not stored yet.
+  std::vector<job_item_result> fresh;
+  std::set<std::string> settled;  ///< Items with a result, stored or fresh.
+  bool loaded = false;
+  bool flushing = false;
+  /// Woken when results are stored.
+  std::unique_ptr<boost::asio::steady_timer> changed;
+};
+
+/// \brief Runs the items of the jobs that this worker owns and stores their
+/// results. Lives on the traffic thread.
+class job_runner {
+ public:
+  explicit job_runner(host_runtime& host);
+
+  /// Takes over what the store says of a job that this worker owns.
+  void Own(stored_job job);
+  /// Another worker owns the job, or it is gone.
+  void Drop(const std::string& job);
+  /// Starts items where there is room and stops them where there is none.
+  void Schedule();
+  /// Stops every run; their items stay with their jobs.
+  void StopAll();
+  bool idle() const;
+
+  owned_job* Find(const std::string& job);
+  /// \returns whether any job has items left.
+  bool has_open_jobs() const;
+  std::vector<batch_backlog> Backlogs() const;
+
+ private:
+  boost::asio::awaitable<void> Load(std::string job);
+  boost::asio::awaitable<void> Run(std::shared_ptr<item_run> run,
+                                   std::shared_ptr<const job_input> input,
+                                   const job_item* item,
+                                   open_item before,
+                                   std::string route_host,
+                                   std::string account);
+  boost::asio::awaitable<void> Flush(std::string job);
+  boost::asio::awaitable<void> Finish(std::string job);
+  void Settle(owned_job& job, job_item_result entry);
+  void CancelEnded(owned_job& job);
+  void StopExcess(const std::vector<backend_status>& servers);
+  bool StartOne(time_point now);
+  void GiveUpExpired(time_point now);
+  void QueueItems(owned_job& job);
+
+  host_runtime* host_;
+  part_log log_{"worker"};
+  std::map<std::string, std::unique_ptr<owned_job>> jobs_;
+  item_queue queue_;
+  std::map<std::pair<std::string, std::string>, std::shared_ptr<item_run>>
+      runs_;
+  bool stopping_ = false;
+  std::uint64_t service_turn_ = 0;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_GATEWAY_JOB_RUNNER_H_
--- /dev/null
+++ b/packages/gateway/src/gateway/online_handler.cc
@@ -0,0 +1,455 @@
+#include "src/gateway/online_handler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+
+namespace {
+
+// An answer that is read whole before it is passed on.
+constexpr std::size_t kMaxWholeAnswer = 16U << 20U;
+// A server beside us accepts a connection within a millisecond or two.
+constexpr std::chrono::milliseconds kConnectTimeout{250};
+// Engines produce an event each 30 ms; a silent one is given up after this
+// time when the stream can go on elsewhere. A caller waits two seconds.
+constexpr std::chrono::milliseconds kEventGap{700};
+// A repeatable request without an answer goes elsewhere after this many times
+// the latency objective.
+constexpr int kObjectivesBeforeRetry = 2;
+constexpr std::chrono::milliseconds kLeastHeadLimit{250};
+// Share of the latency objective for which a request waits here for a slot.
+// Later refusals leave its caller less time to come back.
+constexpr int kWaitShare = 6;
+constexpr std::chrono::milliseconds kPlacePoll{12};
+// Share of the latency objective that the queue of a server may take.
+constexpr double kPatienceShare = 0.7;
+// Servers that cannot be connected to, for one request.
+constexpr std::size_t kMaxTried = 5;
+// The answer must leave this host before the deadline.
+constexpr std::chrono::milliseconds kDeadlineMargin{20};
+
+std::chrono::milliseconds Milliseconds(duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
+/// Counts a request at its server while it lasts there.
+class load_scope {
+ public:
+  load_scope(host_runtime& host, const std::string& backend)
+      : host_(&host), backend_(backend) {
+    host_->Began(backend_, work_class::online);
+  }
+  ~load_scope() { host_->Ended(backend_, work_class::online); }
+  load_scope(const load_scope&) = delete;
+  load_scope& operator=(const load_scope&) = delete;
+
+ private:
+  host_runtime* host_;
+  std::string backend_;
+};
+
+}  // namespace
+
+online_handler::online_handler(host_runtime& host, quota_gate& quotas)
+    : host_(&host),
+      quotas_(&quotas),
+      placement_(host.settings().zone,
+                 Hash64(host.settings().name) ^
+                     static_cast<std::uint64_t>(host.incarnation())) {}
+
+asio::awaitable<void> online_handler::Handle(
+    http_exchange& exchange,
+    std::shared_ptr<online_request> request) {
+  request->canceller = std::make_shared<call_canceller>();
+  exchange.WatchPeer([request] {
+    request->caller_left = true;
+    request->canceller->Cancel();
+  });
+  co_await Serve(*request);
+  Report(*request);
+}
+
+asio::awaitable<void> online_handler::Serve(online_request& request) {
+  if (crashes_.Refused(request.fingerprint, host_->time().Now())) {
+    co_await Refuse(request,
+                    error::Make(error_kind::quarantined,
+                                "this request broke off at several servers"));
+    co_return;
+  }
+  request.service = placement_.PickService(*request.route);
+  while (true) {
+    const result<place_at> place = co_await Place(request);
+    if (request.caller_left) {
+      request.outcome_text = "caller_left";
+      request.exchange->Abort();
+      co_return;
+    }
+    if (!place) {
+      co_await Refuse(request, place.error());
+      co_return;
+    }
+    if (co_await Attempt(request, place->backend, place->expected_wait) ==
+        next_step::finished) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<result<place_at>> online_handler::Place(
+    online_request& request) {
+  const auto objective = request.route->latency_objective;
+  const std::chrono::milliseconds patience(static_cast<std::int64_t>(
+      kPatienceShare * static_cast<double>(objective.count())));
+  const time_point give_up =
+      std::min(request.deadline, host_->time().Now() + objective / kWaitShare);
+  while (true) {
+    const time_point now = host_->time().Now();
+    if (now + kDeadlineMargin >= request.deadline) {
+      co_return Fail(error::Make(request.may_have_run ? error_kind::timeout
+                                                      : error_kind::overloaded,
+                                 "no server had room before the deadline")
+                         .WithRetryAfter(std::chrono::milliseconds(0)));
+    }
+    placement chosen = placement_.Choose(host_->pool(), request.service,
+                                         request.tried, patience, now);
+    if (auto* place = std::get_if<place_at>(&chosen)) {
+      co_return std::move(*place);
+    }
+    if (std::holds_alternative<no_place>(chosen) || now >= give_up ||
+        request.caller_left) {
+      const auto* later = std::get_if<place_later>(&chosen);
+      const auto wait = later != nullptr ? later->expected_wait
+                                         : std::chrono::milliseconds(0);
+      co_return Fail(
+          error::Make(later != nullptr ? error_kind::overloaded
+                                       : error_kind::no_backend,
+                      later != nullptr ? "every server of the service is full"
+                                       : "no server of the service is known")
+              .WithRetryAfter(placement_.RetryAfter(wait, patience)));
+    }
+    co_await SleepFor(kPlacePoll);
+  }
+}
+
+std::chrono::milliseconds online_handler::HeadLimit(
+    const online_request& request) const {
+  const auto left = Milliseconds(request.deadline - host_->time().Now());
+  const bool can_move =
+      request.route->repeatable() && request.sent < request.route->max_attempts;
+  if (!can_move) {
+    return left;
+  }
+  return std::min(left,
+                  std::max(kLeastHeadLimit, request.route->latency_objective *
+                                                kObjectivesBeforeRetry));
+}
+
+std::chrono::milliseconds online_handler::EventLimit(
+    const online_request& request) const {
+  const auto left =
+      std::max(std::chrono::milliseconds(1),
+               Milliseconds(request.deadline - host_->time().Now()));
+  const bool can_move =
+      request.route->repeatable() && request.sent < request.route->max_attempts;
+  return can_move ? std::min(left, kEventGap) : left;
+}
+
+asio::awaitable<online_handler::next_step> online_handler::Attempt(
+    online_request& request,
+    const backend_entry& backend,
+    std::chrono::milliseconds wait) {
+  forward_fields fields;
+  fields.backend = backend.id;
+  fields.account = request.account;
+  fields.time_left = Milliseconds(request.deadline - host_->time().Now());
+  fields.last_event =
+      request.last_event ? request.last_event : request.caller.last_event;
+  http_request message = host_->codec().ForBackend(request.exchange->request(),
+                                                   request.body, fields);
+  call_options options;
+  options.connect_timeout = std::min(kConnectTimeout, *fields.time_left);
+  options.reuse_connection = true;
+  options.resend_on_stale = request.route->repeatable();
+  options.canceller = request.canceller;
+  const std::function<bool(const header_list&)> is_answer =
+      [&](const header_list& headers) {
+        return host_->codec().Answers(headers, request.caller.id);
+      };
+  options.is_answer = &is_answer;
+  bool written = false;
+  const std::function<bool()> may_send = [&] {
+    written = !request.caller_left;
+    return written;
+  };
+  options.may_send = &may_send;
+
+  request.tried.insert(backend.id);
+  request.servers += (request.servers.empty() ? "" : ",") + backend.id;
+  const load_scope load(*host_, backend.id);
+  const time_point began = host_->time().Now();
+  ++request.sent;
+  options.head_timeout = HeadLimit(request);
+  auto call =
+      co_await host_->http().Open(backend.address, std::move(message), options);
+  if (request.caller_left) {
+    request.outcome_text = "caller_left";
+    request.exchange->Abort();
+    co_return next_step::finished;
+  }
+  if (!call) {
+    const error& cause = call.error();
+    if (!written || cause.ran() == outcome::not_run) {
+      --request.sent;
+      host_->pool().Failed(backend.id, host_->time().Now());
+      log_.Warning("A server cannot be reached.",
+                   {{"request", request.caller.id},
+                    {"backend", backend.id},
+                    {"expected_wait_ms", wait.count()},
+                    {"reason", cause.message()}});
+      if (request.tried.size() < kMaxTried) {
+        co_return next_step::try_again;
+      }
+      co_await Refuse(request, error::Make(error_kind::no_backend,
+                                           "no server can be reached"));
+      co_return next_step::finished;
+    }
+    co_return co_await AfterBreak(request, backend, cause);
+  }
+  request.offered = true;
+  const next_step next = co_await TakeAnswer(request, backend, **call);
+  if (next == next_step::finished && request.status == 200) {
+    placement_.ObserveHold(request.service,
+                           Milliseconds(host_->time().Now() - began));
+  }
+  co_return next;
+}
+
+asio::awaitable<online_handler::next_step> online_handler::TakeAnswer(
+    online_request& request,
+    const backend_entry& backend,
+    http_call& call) {
+  const backend_answer answer =
+      host_->codec().ReadAnswer(call.status(), call.headers());
+  if (!answer.executed) {
+    // Read to the end, so that the connection can be kept.
+    const auto rest = co_await call.ReadAll(kMaxWholeAnswer);
+    if (answer.misdirected || !rest) {
+      host_->pool().Failed(backend.id, host_->time().Now());
+    } else {
+      host_->pool().Full(backend.id, host_->time().Now());
+    }
+    log_.Info("A server refused a request.", {{"request", request.caller.id},
+                                              {"backend", backend.id},
+                                              {"status", answer.status},
+                                              {"attempt", request.sent}});
+    if (request.sent < request.route->max_attempts) {
+      co_return next_step::try_again;
+    }
+    const auto hold = placement_.Hold(request.service);
+    co_await Refuse(request, error::Make(error_kind::overloaded,
+                                         "the server refused the request")
+                                 .WithRetryAfter(placement_.RetryAfter(
+                                     hold, std::chrono::milliseconds(0))));
+    co_return next_step::finished;
+  }
+  request.may_have_run = true;
+  const bool server_failed = answer.status >= 500;
+  if (server_failed && request.route->repeatable() &&
+      request.sent < request.route->max_attempts &&
+      host_->time().Now() + kLeastHeadLimit < request.deadline) {
+    log_.Info("A server failed a request that may be repeated.",
+              {{"request", request.caller.id},
+               {"backend", backend.id},
+               {"status", answer.status}});
+    co_return next_step::try_again;
+  }
+  if (request.route->kind == route_kind::streaming && answer.status == 200) {
+    co_return co_await RelayEvents(request, backend, call);
+  }
+  if (request.head_sent) {
+    co_return co_await AfterBreak(
+        request, backend,
+        error::Make(error_kind::backend_failed,
+                    "status " + std::to_string(answer.status)));
+  }
+  call.SetIdleTimeout(Milliseconds(request.deadline - host_->time().Now()));
+  co_return co_await RelayWhole(request, backend, call);
+}
+
+asio::awaitable<online_handler::next_step> online_handler::RelayWhole(
+    online_request& request,
+    const backend_entry& backend,
+    http_call& call) {
+  result<std::string> body = co_await call.ReadAll(kMaxWholeAnswer);
+  if (!body) {
+    co_return co_await AfterBreak(request, backend, body.error());
+  }
+  host_->pool().Succeeded(backend.id);
+  crashes_.Completed(request.fingerprint);
+  http_response answer;
+  answer.status = call.status();
+  answer.headers = host_->codec().ForCaller(call.headers());
+  answer.body = std::move(*body);
+  request.status = answer.status;
+  request.first_byte = host_->time().Now();
+  const result<void> sent = co_await request.exchange->Send(std::move(answer));
+  request.outcome_text = sent ? "answered" : "caller_left";
+  co_return next_step::finished;
+}
+
+asio::awaitable<online_handler::next_step> online_handler::RelayEvents(
+    online_request& request,
+    const backend_entry& backend,
+    http_call& call) {
+  event_reader reader;
+  error cause =
+      error::Make(error_kind::backend_failed, "the stream ended early");
+  while (true) {
+    if (host_->time().Now() >= request.deadline) {
+      cause = error::Make(error_kind::timeout, "the deadline has passed");
+      break;
+    }
+    call.SetIdleTimeout(EventLimit(request));
+    result<std::string> piece = co_await call.ReadSome();
+    if (request.caller_left) {
+      request.outcome_text = "caller_left";
+      request.exchange->Abort();
+      co_return next_step::finished;
+    }
+    if (!piece) {
+      cause = piece.error();
+      break;
+    }
+    const bool ended = piece->empty();
+    if (ended && !reader.at_boundary()) {
+      break;
+    }
+    std::string whole;
+    for (stream_event& event : reader.Feed(*piece)) {
+      whole += event.raw;
+      if (event.id) {
+        request.last_event = event.id;
+      }
+    }
+    if (!request.head_sent && (ended || !whole.empty())) {
+      const result<void> started = co_await request.exchange->StartStream(
+          call.status(), host_->codec().ForCaller(call.headers()));
+      request.head_sent = true;
+      request.status = call.status();
+      request.first_byte = host_->time().Now();
+      if (!started) {
+        request.caller_left = true;
+      }
+    }
+    if (!request.caller_left && !whole.empty()) {
+      const result<void> written =
+          co_await request.exchange->Write(std::move(whole));
+      request.caller_left |= !written;
+    }
+    if (request.caller_left) {
+      request.outcome_text = "caller_left";
+      request.exchange->Abort();
+      co_return next_step::finished;
+    }
+    if (ended) {
+      host_->pool().Succeeded(backend.id);
+      crashes_.Completed(request.fingerprint);
+      co_await request.exchange->Finish();
+      request.outcome_text = "answered";
+      co_return next_step::finished;
+    }
+  }
+  call.Cancel();
+  co_return co_await AfterBreak(request, backend, cause);
+}
+
+asio::awaitable<online_handler::next_step> online_handler::AfterBreak(
+    online_request& request,
+    const backend_entry& backend,
+    const error& cause) {
+  const time_point now = host_->time().Now();
+  request.may_have_run = true;
+  const bool out_of_time = now + kDeadlineMargin >= request.deadline;
+  if (!out_of_time) {
+    host_->pool().Failed(backend.id, now);
+    crashes_.Crashed(request.fingerprint, backend.id, now);
+  }
+  const bool can_move = request.route->repeatable() &&
+                        request.sent < request.route->max_attempts &&
+                        !out_of_time && !request.caller_left;
+  log_.Warning("A server broke off a request.",
+               {{"request", request.caller.id},
+                {"backend", backend.id},
+                {"attempt", request.sent},
+                {"last_event", request.last_event.value_or(-1)},
+                {"moves_on", can_move ? "yes" : "no"},
+                {"reason", cause.message()}});
+  if (can_move) {
+    co_return next_step::try_again;
+  }
+  if (request.head_sent) {
+    request.outcome_text = "cut";
+    request.exchange->Abort();
+    co_return next_step::finished;
+  }
+  co_await Refuse(request, error::Make(out_of_time ? error_kind::timeout
+                                                   : error_kind::backend_failed,
+                                       "the server gave no answer"));
+  co_return next_step::finished;
+}
+
+asio::awaitable<void> online_handler::Refuse(online_request& request,
+                                             error cause) {
+  if (request.head_sent) {
+    request.outcome_text = "cut";
+    request.exchange->Abort();
+    co_return;
+  }
+  // A refusal promises that the request has not run.
+  if (request.may_have_run && cause.ran() == outcome::not_run) {
+    cause = error::Make(error_kind::backend_failed, cause.message());
+  }
+  if (cause.ran() == outcome::not_run && request.counted) {
+    quotas_->Refund(request.account);
+    request.counted = false;
+  }
+  http_response answer = host_->codec().Refusal(cause, request.caller.id);
+  request.status = answer.status;
+  request.outcome_text = ToString(cause.kind());
+  co_await request.exchange->Send(std::move(answer));
+}
+
+void online_handler::Report(const online_request& request) {
+  const time_point now = host_->time().Now();
+  const auto total = Milliseconds(now - request.arrived);
+  const auto first = request.first_byte
+                         ? Milliseconds(*request.first_byte - request.arrived)
+                         : std::chrono::milliseconds(-1);
+  const auto age = host_->stock().store_age();
+  log_.Info("An online request ended.",
+            {{"request", request.caller.id},
+             {"route", request.route->name},
+             {"account", request.account},
+             {"service", request.service},
+             {"servers", request.servers},
+             {"attempts", request.sent},
+             {"status", request.status},
+             {"outcome", request.outcome_text},
+             {"first_ms", first.count()},
+             {"total_ms", total.count()},
+             {"configuration", request.configuration->version()},
+             {"store_age_ms", age ? age->count() : -1}});
+  metrics_registry& metrics = host_->metrics();
+  metrics
+      .Counter("cardamomyard_requests_total",
+               {{"outcome", request.outcome_text}})
+      .Add();
+  if (request.first_byte) {
+    metrics.Summary("cardamomyard_first_byte_ms")
+        .Observe(static_cast<double>(first.count()));
+  }
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/online_handler.h
@@ -0,0 +1,67 @@
+#ifndef CARDAMOMYARD_GATEWAY_ONLINE_HANDLER_H_
+#define CARDAMOMYARD_GATEWAY_ONLINE_HANDLER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/fleet.h"
+#include "cardamomyard/net.h"
+#include "src/gateway/host_runtime.h"
+#include "src/gateway/online_request.h"
+#include "src/gateway/quota_gate.h"
+
+namespace cardamomyard {
+
+/// \brief Serves online requests: places each at a backend server, passes the
+/// answer on, and goes on at another server where the route allows it.
+class online_handler {
+ public:
+  online_handler(host_runtime& host, quota_gate& quotas);
+
+  /// Answers the request. Its route and account are settled already.
+  boost::asio::awaitable<void> Handle(http_exchange& exchange,
+                                      std::shared_ptr<online_request> request);
+
+ private:
+  /// What to do after one attempt.
+  enum class next_step { finished, try_again };
+
+  boost::asio::awaitable<void> Serve(online_request& request);
+  boost::asio::awaitable<next_step> Attempt(online_request& request,
+                                            const backend_entry& backend,
+                                            std::chrono::milliseconds wait);
+  boost::asio::awaitable<next_step> TakeAnswer(online_request& request,
+                                               const backend_entry& backend,
+                                               http_call& call);
+  boost::asio::awaitable<next_step> RelayWhole(online_request& request,
+                                               const backend_entry& backend,
+                                               http_call& call);
+  boost::asio::awaitable<next_step> RelayEvents(online_request& request,
+                                                const backend_entry& backend,
+                                                http_call& call);
+  /// A server may have run the request and gave no usable answer.
+  boost::asio::awaitable<next_step> AfterBreak(online_request& request,
+                                               const backend_entry& backend,
+                                               const error& cause);
+  /// Waits until a server has room, for a short time.
+  boost::asio::awaitable<result<place_at>> Place(online_request& request);
+  boost::asio::awaitable<void> Refuse(online_request& request, error cause);
+  std::chrono::milliseconds HeadLimit(const online_request& request) const;
+  /// \returns how long the next event of a stream may take.
+  std::chrono::milliseconds EventLimit(const online_request& request) const;
+  void Report(const online_request& request);
+
+  host_runtime* host_;
+  quota_gate* quotas_;
+  online_placement placement_;
+  crash_record crashes_;
+  part_log log_{"online"};
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_GATEWAY_ONLINE_HANDLER_H_
--- /dev/null
+++ b/packages/gateway/src/gateway/quota_gate.cc
@@ -0,0 +1,55 @@
+#include "src/gateway/quota_gate.h"
+
+#include <map>
+
+namespace cardamomyard {
+
+quota_gate::quota_gate(const clock& time,
+                       const peer_table& peers,
+                       bool first_start)
+    : clock_(&time), peers_(&peers), quota_(first_start) {}
+
+void quota_gate::Configure(const service_map& configuration) {
+  std::map<std::string, account_limits> quotas;
+  for (const service_account& account : configuration.accounts()) {
+    if (account.quota) {
+      quotas[account.name] = *account.quota;
+    }
+  }
+  quota_.Configure(quotas, clock_->Now());
+}
+
+void quota_gate::OnDigest(const load_digest& digest) {
+  if (digest.role != host_role::gateway) {
+    return;
+  }
+  std::map<std::string, std::int64_t> totals;
+  for (const account_use& use : digest.uses) {
+    totals[use.account] = use.admitted;
+  }
+  quota_.Observe(digest.host, digest.incarnation, totals, clock_->Now());
+}
+
+void quota_gate::Fill(load_digest& digest) const {
+  for (const auto& [account, admitted] : quota_.admitted()) {
+    digest.uses.push_back({account, admitted});
+  }
+}
+
+void quota_gate::UpdateReach(time_point now) {
+  const auto [known, heard] = peers_->GatewayCounts(now);
+  quota_.SetReach(heard + 1, known + 1, now);
+}
+
+std::optional<std::chrono::milliseconds> quota_gate::Admit(
+    const std::string& account) {
+  const time_point now = clock_->Now();
+  UpdateReach(now);
+  return quota_.Admit(account, now);
+}
+
+void quota_gate::Refund(const std::string& account) {
+  quota_.Refund(account, clock_->Now());
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/quota_gate.h
@@ -0,0 +1,40 @@
+#ifndef CARDAMOMYARD_GATEWAY_QUOTA_GATE_H_
+#define CARDAMOMYARD_GATEWAY_QUOTA_GATE_H_
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/fleet.h"
+#include "cardamomyard/limits.h"
+#include "cardamomyard/wire.h"
+
+namespace cardamomyard {
+
+/// \brief Connects the quotas of client accounts with configuration and peers.
+class quota_gate {
+ public:
+  quota_gate(const clock& time, const peer_table& peers, bool first_start);
+
+  void Configure(const service_map& configuration);
+  void OnDigest(const load_digest& digest);
+  /// Writes this host's totals into its digest.
+  void Fill(load_digest& digest) const;
+
+  /// \returns nothing when the request is admitted, or when to come back.
+  std::optional<std::chrono::milliseconds> Admit(const std::string& account);
+  void Refund(const std::string& account);
+
+ private:
+  void UpdateReach(time_point now);
+
+  const clock* clock_;
+  const peer_table* peers_;
+  fleet_quota quota_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_GATEWAY_QUOTA_GATE_H_
--- /dev/null
+++ b/packages/gateway/src/gateway/worker_lease.cc
@@ -0,0 +1,102 @@
+#include "src/gateway/worker_lease.h"
+
+#include <utility>
+
+#include "src/gateway/internal_paths.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view kReleased = "released";
+
+}  // namespace
+
+worker_lease::worker_lease(object_store& store,
+                           const clock& time,
+                           std::string name,
+                           std::int64_t incarnation)
+    : store_(&store),
+      clock_(&time),
+      name_(std::move(name)),
+      incarnation_(incarnation) {}
+
+bool worker_lease::Held() const {
+  return !released_ && held_until_ && clock_->Now() < *held_until_;
+}
+
+asio::awaitable<bool> worker_lease::Renew() {
+  if (released_) {
+    co_return false;
+  }
+  const bool was_held = Held();
+  const time_point sent = clock_->Now();
+  const std::string value =
+      std::to_string(incarnation_) + " " + std::to_string(++renewals_);
+  auto written =
+      revision_ == 0
+          ? co_await store_->Create(kLeaseKind, name_, value)
+          : co_await store_->Replace(kLeaseKind, name_, value, revision_);
+  if (!written && (written.error().kind() == error_kind::conflict ||
+                   written.error().kind() == error_kind::not_found)) {
+    // An earlier incarnation, or a renewal whose answer was lost, wrote it.
+    const auto held = co_await store_->Get(kLeaseKind, name_);
+    if (held) {
+      revision_ = *held ? (*held)->revision : 0;
+      written =
+          revision_ == 0
+              ? co_await store_->Create(kLeaseKind, name_, value)
+              : co_await store_->Replace(kLeaseKind, name_, value, revision_);
+    }
+  }
+  if (written) {
+    revision_ = written->revision;
+    held_until_ = sent + kHold;
+  }
+  if (was_held != Held()) {
+    log_.Info(Held() ? "The worker holds its lease."
+                     : "The worker's lease has lapsed.",
+              {{"worker", name_},
+               {"renewal", renewals_},
+               {"revision", revision_},
+               {"reason", written ? "" : written.error().message()}});
+  }
+  co_return Held();
+}
+
+asio::awaitable<void> worker_lease::Release() {
+  released_ = true;
+  held_until_.reset();
+  if (revision_ == 0) {
+    co_return;
+  }
+  const auto written = co_await store_->Replace(
+      kLeaseKind, name_, std::string(kReleased), revision_);
+  log_.Info("The worker gives up its lease.",
+            {{"worker", name_},
+             {"stored", written ? "yes" : written.error().message()}});
+}
+
+asio::awaitable<bool> worker_lease::Lapsed(std::string owner) {
+  const auto read = co_await store_->Get(kLeaseKind, owner);
+  if (!read) {
+    // Nothing is known about the lease while the store is away.
+    others_.erase(owner);
+    co_return false;
+  }
+  if (*read && (*read)->value == kReleased) {
+    co_return true;
+  }
+  const std::uint64_t revision = *read ? (*read)->revision : 0;
+  const time_point now = clock_->Now();
+  const auto [seen, added] =
+      others_.try_emplace(owner, observed{revision, now});
+  if (added || seen->second.revision != revision) {
+    seen->second = {revision, now};
+    co_return false;
+  }
+  co_return now - seen->second.since >= kTakeAfter;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/gateway/src/gateway/worker_lease.h
@@ -0,0 +1,65 @@
+#ifndef CARDAMOMYARD_GATEWAY_WORKER_LEASE_H_
+#define CARDAMOMYARD_GATEWAY_WORKER_LEASE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/store.h"
+#include "cardamomyard/telemetry.h"
+
+namespace cardamomyard {
+
+/// \brief This worker's lease in the store, and whether others' have lapsed.
+///
+/// The holder counts its lease from the moment at which it sent a renewal, the
+/// others count from the moment at which they saw no new renewal, and wait
+/// longer; so a lease has ended for its holder before anyone takes its jobs,
+/// also when the holder was suspended.
+class worker_lease {
+ public:
+  static constexpr std::chrono::milliseconds kRenewal{1000};
+  /// How long a renewal holds for its holder.
+  static constexpr std::chrono::milliseconds kHold{2500};
+  /// How long others wait for the next renewal; more than kHold, by the time
+  /// of a slow call.
+  static constexpr std::chrono::milliseconds kTakeAfter{4000};
+
+  worker_lease(object_store& store,
+               const clock& time,
+               std::string name,
+               std::int64_t incarnation);
+
+  /// Renews the lease once. \returns whether it is held.
+  boost::asio::awaitable<bool> Renew();
+  /// Gives the lease up for good.
+  boost::asio::awaitable<void> Release();
+  bool Held() const;
+
+  /// Looks at another worker's lease. \returns whether its jobs may be taken.
+  boost::asio::awaitable<bool> Lapsed(std::string owner);
+
+ private:
+  struct observed {
+    std::uint64_t revision = 0;
+    time_point since;
+  };
+
+  object_store* store_;
+  const clock* clock_;
+  std::string name_;
+  std::int64_t incarnation_;
+  std::int64_t renewals_ = 0;
+  std::uint64_t revision_ = 0;
+  std::optional<time_point> held_until_;
+  bool released_ = false;
+  std::map<std::string, observed> others_;
+  part_log log_{"lease"};
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_GATEWAY_WORKER_LEASE_H_
--- /dev/null
+++ b/packages/jobs/include/cardamomyard/jobs.h
@@ -0,0 +1,13 @@
+#ifndef CARDAMOMYARD_JOBS_H_
+#define CARDAMOMYARD_JOBS_H_
+
+/// \file
+/// Public header of the package jobs: batch jobs kept in the platform's store,
+/// who owns them, and which of their items runs next.
+
+#include "src/jobs/event_reader.h"
+#include "src/jobs/item_queue.h"
+#include "src/jobs/job_record.h"
+#include "src/jobs/job_store.h"
+
+#endif  // CARDAMOMYARD_JOBS_H_
--- /dev/null
+++ b/packages/jobs/src/jobs/event_reader.h
@@ -0,0 +1,39 @@
+#ifndef CARDAMOMYARD_JOBS_EVENT_READER_H_
+#define CARDAMOMYARD_JOBS_EVENT_READER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamomyard {
+
+/// \brief One whole event of a stream.
+struct stream_event {
+  std::optional<std::int64_t> id;
+  std::string data;  ///< Its data lines, joined by line feeds.
+  std::string raw;   ///< Its bytes with the blank line that ends it.
+  friend bool operator==(const stream_event&, const stream_event&) = default;
+};
+
+/// \brief Cuts a stream of server-sent events into whole events.
+///
+/// A server may break off in the middle of an event; the part that has arrived
+/// then stays in the reader and reaches nobody.
+class event_reader {
+ public:
+  /// \param bytes  the next piece of the stream, cut anywhere.
+  /// \returns the events that this piece completes.
+  std::vector<stream_event> Feed(std::string_view bytes);
+
+  /// \returns whether the stream stands between two events.
+  bool at_boundary() const { return pending_.empty(); }
+
+ private:
+  std::string pending_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_JOBS_EVENT_READER_H_
--- /dev/null
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -0,0 +1,100 @@
+#include "src/jobs/item_queue.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cardamomyard {
+namespace {
+
+// A server that refused is full for about this long.
+constexpr std::chrono::milliseconds kAfterRefusal{60};
+// A server that failed an item may be failing for a moment.
+constexpr std::chrono::milliseconds kAfterFailure{150};
+constexpr std::chrono::milliseconds kAfterCut{10};
+
+}  // namespace
+
+void item_queue::Add(open_item item) {
+  key name{item.job, item.item};
+  items_.try_emplace(std::move(name), std::move(item));
+}
+
+void item_queue::RemoveJob(const std::string& job) {
+  std::erase_if(items_,
+                [&job](const auto& item) { return item.first.first == job; });
+}
+
+open_item* item_queue::Next(time_point now) {
+  open_item* best = nullptr;
+  const auto order = [now](const open_item& item) {
+    return std::tuple(now >= item.limits.due, item.limits.due, item.index);
+  };
+  for (auto& [name, item] : items_) {
+    if (!item.running && now >= item.not_before &&
+        (best == nullptr || order(item) < order(*best))) {
+      best = &item;
+    }
+  }
+  if (best != nullptr) {
+    best->running = true;
+  }
+  return best;
+}
+
+open_item* item_queue::Find(const std::string& job, const std::string& item) {
+  const auto found = items_.find(key{job, item});
+  return found == items_.end() ? nullptr : &found->second;
+}
+
+std::optional<bool> item_queue::Ended(open_item& item,
+                                      item_ending ending,
+                                      time_point now) {
+  item.running = false;
+  switch (ending) {
+    case item_ending::completed:
+      return true;
+    case item_ending::impossible:
+      return false;
+    case item_ending::failed:
+      item.not_before = now + kAfterFailure;
+      if (++item.failures >= item.limits.max_attempts) {
+        return false;
+      }
+      return std::nullopt;
+    case item_ending::cut:
+      item.not_before = now + kAfterCut;
+      return std::nullopt;
+    case item_ending::refused:
+      item.not_before = now + kAfterRefusal;
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+void item_queue::Erase(const std::string& job, const std::string& item) {
+  items_.erase(key{job, item});
+}
+
+bool item_queue::StopsBefore(const open_item& a, const open_item& b) {
+  return std::tuple(a.limits.due, -a.last_event) >
+         std::tuple(b.limits.due, -b.last_event);
+}
+
+std::size_t item_queue::waiting() const {
+  return static_cast<std::size_t>(
+      std::count_if(items_.begin(), items_.end(),
+                    [](const auto& item) { return !item.second.running; }));
+}
+
+std::vector<open_item*> item_queue::Expired(time_point now) {
+  std::vector<open_item*> expired;
+  for (auto& [name, item] : items_) {
+    if (!item.running && now >= item.limits.expires) {
+      expired.push_back(&item);
+    }
+  }
+  return expired;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/jobs/src/jobs/item_queue.h
@@ -0,0 +1,85 @@
+#ifndef CARDAMOMYARD_JOBS_ITEM_QUEUE_H_
+#define CARDAMOMYARD_JOBS_ITEM_QUEUE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cardamomyard/base.h"
+
+namespace cardamomyard {
+
+/// \brief Limits of a batch route for one item.
+struct item_limits {
+  int max_attempts = 1;
+  /// When the results are due.
+  time_point due;
+  /// When the item may be given up.
+  time_point expires;
+  friend bool operator==(const item_limits&, const item_limits&) = default;
+};
+
+/// How a run of an item ended.
+enum class item_ending {
+  completed,
+  failed,      ///< The server ran it and failed.
+  impossible,  ///< The server says that it can never be done.
+  cut,         ///< Stopped or broken off; it goes on from its last event.
+  refused,     ///< It has not run.
+};
+
+/// \brief Where an item of an open job stands.
+struct open_item {
+  std::string job;
+  std::string item;
+  std::size_t index = 0;  ///< Position in the job's input.
+  item_limits limits;
+  int failures = 0;
+  int breaks = 0;  ///< Runs in a row that broke off without an event.
+  bool running = false;
+  std::int64_t last_event = 0;  ///< Id of the last event received.
+  bool any_event = false;
+  std::string text;  ///< Data of the events received so far.
+  time_point not_before;
+};
+
+/// \brief The unfinished items of this worker's jobs and their order.
+///
+/// The load this answers: more items than slots, due at different times. The
+/// item that is due first runs first; items whose time is up run last, since
+/// those that can still be on time are worth more to their callers.
+class item_queue {
+ public:
+  void Add(open_item item);
+  void RemoveJob(const std::string& job);
+
+  /// \returns the item to run next and marks it as running.
+  open_item* Next(time_point now);
+  open_item* Find(const std::string& job, const std::string& item);
+  /// Records how a run ended. \returns whether the item is finished, and if so
+  /// whether it completed.
+  std::optional<bool> Ended(open_item& item,
+                            item_ending ending,
+                            time_point now);
+  void Erase(const std::string& job, const std::string& item);
+
+  /// \returns the item that loses least when it is stopped: the one that is
+  /// due last, and of these the one with the fewest events.
+  static bool StopsBefore(const open_item& a, const open_item& b);
+
+  std::size_t size() const { return items_.size(); }
+  std::size_t waiting() const;
+  /// \returns items that are past \p expires and are not running.
+  std::vector<open_item*> Expired(time_point now);
+
+ private:
+  using key = std::pair<std::string, std::string>;
+  std::map<key, open_item> items_;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_JOBS_ITEM_QUEUE_H_
--- /dev/null
+++ b/packages/jobs/src/jobs/job_record.cc
@@ -0,0 +1,205 @@
+#include "src/jobs/job_record.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <numeric>
+#include <stdexcept>
+
+namespace cardamomyard {
+namespace json = boost::json;
+
+namespace {
+
+// Quotes, braces and field names around one item or part.
+constexpr std::size_t kFrameBytes = 64;
+
+json::value ToJson(const job_item& item) {
+  json::array headers;
+  for (const http_header& header : item.headers.all()) {
+    headers.push_back(json::array{header.name, header.value});
+  }
+  return json::object{{"id", item.id},
+                      {"path", item.path},
+                      {"headers", std::move(headers)},
+                      {"body", Base64Encode(item.body)},
+                      {"tokens", item.tokens}};
+}
+
+json::value ToJson(const std::vector<job_item_result>& results) {
+  json::array list;
+  for (const job_item_result& entry : results) {
+    list.push_back(json::array{entry.item, entry.completed, entry.text});
+  }
+  return list;
+}
+
+std::vector<job_item_result> ResultsFromJson(const json::value& value) {
+  std::vector<job_item_result> results;
+  for (const json::value& entry : value.as_array()) {
+    const json::array& fields = entry.as_array();
+    results.push_back({std::string(fields.at(0).as_string()),
+                       fields.at(1).as_bool(),
+                       std::string(fields.at(2).as_string())});
+  }
+  return results;
+}
+
+std::string Text(const json::object& object, std::string_view field) {
+  return std::string(object.at(field).as_string());
+}
+
+std::int64_t Number(const json::object& object, std::string_view field) {
+  return object.at(field).to_number<std::int64_t>();
+}
+
+/// Runs \p read on the parsed value; whatever does not fit is an error.
+template <class Read>
+auto Decode(const std::string& what, const std::string& value, Read read)
+    -> result<decltype(read(std::declval<const json::value&>()))> {
+  try {
+    return read(json::parse(value));
+  } catch (const std::exception& problem) {
+    return Fail(error_kind::internal,
+                "a stored " + what + " cannot be read: " + problem.what());
+  }
+}
+
+}  // namespace
+
+std::int64_t job_input::tokens() const {
+  return std::accumulate(
+      items.begin(), items.end(), std::int64_t{0},
+      [](std::int64_t sum, const job_item& item) { return sum + item.tokens; });
+}
+
+const job_item* job_input::Find(const std::string& item) const {
+  const auto found =
+      std::find_if(items.begin(), items.end(),
+                   [&item](const job_item& i) { return i.id == item; });
+  return found == items.end() ? nullptr : &*found;
+}
+
+std::int64_t job_results::sealed_count() const {
+  return std::accumulate(sealed.begin(), sealed.end(), std::int64_t{0});
+}
+
+std::string EncodeRecord(const job_record& record) {
+  return json::serialize(
+      json::object{{"account", record.account},
+                   {"route", record.route},
+                   {"host", record.host},
+                   {"owner", record.owner},
+                   {"total", record.total},
+                   {"tokens", record.tokens},
+                   {"input_parts", record.input_parts},
+                   {"submitted_unix_ms", record.submitted_unix_ms},
+                   {"ended", record.ended},
+                   {"finished", record.finished}});
+}
+
+result<job_record> DecodeRecord(const std::string& id,
+                                const std::string& value) {
+  return Decode("job", value, [&id](const json::value& parsed) {
+    const json::object& fields = parsed.as_object();
+    job_record record;
+    record.id = id;
+    record.account = Text(fields, "account");
+    record.route = Text(fields, "route");
+    record.host = Text(fields, "host");
+    record.owner = Text(fields, "owner");
+    record.total = Number(fields, "total");
+    record.tokens = Number(fields, "tokens");
+    record.input_parts = Number(fields, "input_parts");
+    record.submitted_unix_ms = Number(fields, "submitted_unix_ms");
+    record.ended = fields.at("ended").as_bool();
+    record.finished = fields.at("finished").as_bool();
+    return record;
+  });
+}
+
+std::string EncodeInput(const std::vector<job_item>& items) {
+  json::array list;
+  for (const job_item& item : items) {
+    list.push_back(ToJson(item));
+  }
+  return json::serialize(list);
+}
+
+result<std::vector<job_item>> DecodeInput(const std::string& value) {
+  return Decode("job input", value, [](const json::value& parsed) {
+    std::vector<job_item> items;
+    for (const json::value& entry : parsed.as_array()) {
+      const json::object& fields = entry.as_object();
+      job_item item;
+      item.id = Text(fields, "id");
+      item.path = Text(fields, "path");
+      for (const json::value& header : fields.at("headers").as_array()) {
+        const json::array& pair = header.as_array();
+        item.headers.Add(std::string(pair.at(0).as_string()),
+                         std::string(pair.at(1).as_string()));
+      }
+      result<std::string> bytes = Base64Decode(Text(fields, "body"));
+      if (!bytes) {
+        throw std::runtime_error(bytes.error().message());
+      }
+      item.body = std::move(*bytes);
+      item.tokens = Number(fields, "tokens");
+      items.push_back(std::move(item));
+    }
+    return items;
+  });
+}
+
+std::string EncodeResults(const job_results& results) {
+  return json::serialize(json::object{
+      {"sealed", json::array(results.sealed.begin(), results.sealed.end())},
+      {"open", ToJson(results.open)}});
+}
+
+result<job_results> DecodeResults(const std::string& value) {
+  return Decode("job result", value, [](const json::value& parsed) {
+    const json::object& fields = parsed.as_object();
+    job_results results;
+    for (const json::value& count : fields.at("sealed").as_array()) {
+      results.sealed.push_back(count.to_number<std::int64_t>());
+    }
+    results.open = ResultsFromJson(fields.at("open"));
+    return results;
+  });
+}
+
+std::string EncodePage(const std::vector<job_item_result>& results) {
+  return json::serialize(ToJson(results));
+}
+
+result<std::vector<job_item_result>> DecodePage(const std::string& value) {
+  return Decode("result page", value, [](const json::value& parsed) {
+    return ResultsFromJson(parsed);
+  });
+}
+
+result<std::vector<std::string>> EncodeInputParts(const job_input& input,
+                                                  std::size_t max_bytes) {
+  std::vector<std::string> parts;
+  std::vector<job_item> current;
+  std::size_t size = kFrameBytes;
+  for (const job_item& item : input.items) {
+    const std::size_t bytes = json::serialize(ToJson(item)).size() + 1;
+    if (bytes + kFrameBytes > max_bytes) {
+      return Fail(error_kind::too_large,
+                  "item " + item.id + " takes " + std::to_string(bytes) +
+                      " bytes, the store holds " + std::to_string(max_bytes));
+    }
+    if (!current.empty() && size + bytes > max_bytes) {
+      parts.push_back(EncodeInput(current));
+      current.clear();
+      size = kFrameBytes;
+    }
+    size += bytes;
+    current.push_back(item);
+  }
+  parts.push_back(EncodeInput(current));
+  return parts;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/jobs/src/jobs/job_record.h
@@ -0,0 +1,87 @@
+#ifndef CARDAMOMYARD_JOBS_JOB_RECORD_H_
+#define CARDAMOMYARD_JOBS_JOB_RECORD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/net.h"
+#include "cardamomyard/wire.h"
+
+namespace cardamomyard {
+
+/// \brief One item of a batch job, as submitted.
+struct job_item {
+  std::string id;
+  std::string path;
+  header_list headers;
+  std::string body;
+  /// Tokens of its prompt and the most that it may generate.
+  std::int64_t tokens = 0;
+  friend bool operator==(const job_item&, const job_item&) = default;
+};
+
+/// \brief What a caller submits. Immutable once stored.
+struct job_input {
+  std::vector<job_item> items;
+
+  std::int64_t tokens() const;
+  const job_item* Find(const std::string& item) const;
+  friend bool operator==(const job_input&, const job_input&) = default;
+};
+
+/// \brief The small record of a batch job that all workers watch. Its creation
+/// is the acceptance of the job.
+struct job_record {
+  std::string id;
+  std::string account;
+  std::string route;        ///< Name of the batch route.
+  std::string host;         ///< Host name that the items are sent with.
+  std::string owner;        ///< Worker that runs it; empty when none was known.
+  std::int64_t total = 0;   ///< Number of items.
+  std::int64_t tokens = 0;  ///< Tokens of all items.
+  std::int64_t input_parts = 1;
+  std::int64_t submitted_unix_ms = 0;
+  bool ended = false;     ///< Its caller ended it.
+  bool finished = false;  ///< Every item has a result, or it ended.
+
+  friend bool operator==(const job_record&, const job_record&) = default;
+};
+
+/// \brief The results of a job in the order in which they became final. Pages
+/// before the last one are sealed and never change.
+struct job_results {
+  std::vector<std::int64_t> sealed;  ///< Number of results of each sealed page.
+  std::vector<job_item_result> open;
+
+  std::int64_t sealed_count() const;
+  std::int64_t count() const {
+    return sealed_count() + static_cast<std::int64_t>(open.size());
+  }
+  friend bool operator==(const job_results&, const job_results&) = default;
+};
+
+std::string EncodeRecord(const job_record& record);
+std::string EncodeInput(const std::vector<job_item>& items);
+std::string EncodeResults(const job_results& results);
+std::string EncodePage(const std::vector<job_item_result>& results);
+
+/// Each returns `internal` for a value that this version cannot read.
+result<job_record> DecodeRecord(const std::string& id,
+                                const std::string& value);
+result<std::vector<job_item>> DecodeInput(const std::string& value);
+result<job_results> DecodeResults(const std::string& value);
+result<std::vector<job_item_result>> DecodePage(const std::string& value);
+
+/// \brief Splits a job's items into parts whose encoded size is at most
+/// \p max_bytes each.
+/// \returns `too_large` when one item alone is larger.
+result<std::vector<std::string>> EncodeInputParts(const job_input& input,
+                                                  std::size_t max_bytes);
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_JOBS_JOB_RECORD_H_
--- /dev/null
+++ b/packages/jobs/src/jobs/job_store.cc
@@ -0,0 +1,309 @@
+#include "src/jobs/job_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomyard {
+namespace {
+
+constexpr const char* kInputKind = "batch-input";
+constexpr const char* kResultKind = "batch-result";
+constexpr const char* kPageKind = "batch-page";
+// Part of the store's limit that a record may use, as its text grows when it is
+// escaped.
+constexpr double kValueShare = 0.8;
+// Results above this are sealed into a page of their own, so that later writes
+// do not carry them.
+constexpr double kPageShare = 0.5;
+constexpr std::chrono::milliseconds kFirstRetry{40};
+constexpr std::chrono::milliseconds kMostRetry{500};
+constexpr int kReadBackTries = 6;
+
+std::size_t TextSize(const std::vector<job_item_result>& results) {
+  std::size_t bytes = 0;
+  for (const job_item_result& entry : results) {
+    bytes += entry.text.size() + entry.item.size();
+  }
+  return bytes;
+}
+
+std::string PartName(const std::string& job, std::int64_t part) {
+  return job + "." + std::to_string(part);
+}
+
+}  // namespace
+
+std::vector<job_item_result> TakeResults(
+    const std::vector<job_item_result>& list,
+    std::size_t from,
+    std::size_t max_bytes) {
+  std::vector<job_item_result> taken;
+  std::size_t bytes = 0;
+  for (std::size_t i = from; i < list.size(); ++i) {
+    bytes += list[i].text.size();
+    if (!taken.empty() && bytes > max_bytes) {
+      break;
+    }
+    taken.push_back(list[i]);
+  }
+  return taken;
+}
+
+job_store::job_store(object_store& store, const clock& time)
+    : store_(&store), clock_(&time) {}
+
+boost::asio::awaitable<result<void>> job_store::Accept(job_record record,
+                                                       const job_input& input,
+                                                       time_point deadline) {
+  const result<std::vector<std::string>> parts = EncodeInputParts(
+      input, static_cast<std::size_t>(
+                 static_cast<double>(store_->max_value_bytes()) * kValueShare));
+  if (!parts) {
+    co_return Fail(parts.error());
+  }
+  record.input_parts = static_cast<std::int64_t>(parts->size());
+  for (std::size_t i = 0; i < parts->size(); ++i) {
+    const result<void> stored =
+        co_await CreateSurely(*store_, *clock_, kInputKind,
+                              PartName(record.id, static_cast<std::int64_t>(i)),
+                              (*parts)[i], deadline);
+    if (!stored) {
+      // Without its record the job does not exist.
+      co_return Fail(stored.error().WithOutcome(outcome::not_run));
+    }
+  }
+  co_return co_await CreateSurely(*store_, *clock_, kJobKind, record.id,
+                                  EncodeRecord(record), deadline);
+}
+
+boost::asio::awaitable<result<std::optional<stored_job>>> job_store::Read(
+    std::string job) {
+  const auto read = co_await store_->Get(kJobKind, job);
+  if (!read) {
+    co_return Fail(read.error());
+  }
+  if (!*read) {
+    co_return std::optional<stored_job>();
+  }
+  result<job_record> record = DecodeRecord(job, (*read)->value);
+  if (!record) {
+    co_return Fail(record.error());
+  }
+  co_return stored_job{std::move(*record), (*read)->revision};
+}
+
+boost::asio::awaitable<result<std::uint64_t>> job_store::Update(
+    job_record record,
+    std::uint64_t revision) {
+  const auto written = co_await store_->Replace(kJobKind, record.id,
+                                                EncodeRecord(record), revision);
+  if (!written) {
+    co_return Fail(written.error());
+  }
+  co_return written->revision;
+}
+
+boost::asio::awaitable<result<void>> job_store::End(std::string job,
+                                                    std::string account,
+                                                    time_point deadline) {
+  backoff delay(kFirstRetry, kMostRetry, Hash64(job));
+  while (true) {
+    auto held = co_await Read(job);
+    if (held && (!*held || (*held)->record.account != account)) {
+      co_return Fail(error_kind::not_found, "there is no batch job " + job);
+    }
+    error cause = error::Make(error_kind::store_unavailable, "");
+    if (held) {
+      job_record record = (*held)->record;
+      if (record.ended || record.finished) {
+        co_return result<void>();
+      }
+      record.ended = true;
+      const auto written =
+          co_await Update(std::move(record), (*held)->revision);
+      if (written) {
+        co_return result<void>();
+      }
+      cause = written.error();
+    } else {
+      cause = held.error();
+    }
+    const auto pause = delay.Next();
+    if (clock_->Now() + pause >= deadline) {
+      co_return Fail(std::move(cause));
+    }
+    co_await SleepFor(pause);
+  }
+}
+
+boost::asio::awaitable<result<job_input>> job_store::ReadInput(
+    job_record record) {
+  job_input input;
+  for (std::int64_t part = 0; part < record.input_parts; ++part) {
+    const auto read =
+        co_await store_->Get(kInputKind, PartName(record.id, part));
+    if (!read) {
+      co_return Fail(read.error());
+    }
+    if (!*read) {
+      co_return Fail(error_kind::not_found,
+                     "the input of batch job " + record.id + " is gone");
+    }
+    result<std::vector<job_item>> items = DecodeInput((*read)->value);
+    if (!items) {
+      co_return Fail(items.error());
+    }
+    std::move(items->begin(), items->end(), std::back_inserter(input.items));
+  }
+  co_return input;
+}
+
+boost::asio::awaitable<result<stored_results>> job_store::ReadResults(
+    std::string job) {
+  const auto read = co_await store_->Get(kResultKind, job);
+  if (!read) {
+    co_return Fail(read.error());
+  }
+  if (!*read) {
+    co_return stored_results{};
+  }
+  result<job_results> results = DecodeResults((*read)->value);
+  if (!results) {
+    co_return Fail(results.error());
+  }
+  co_return stored_results{std::move(*results), (*read)->revision};
+}
+
+boost::asio::awaitable<result<std::vector<job_item_result>>>
+job_store::ReadFrom(std::string job,
+                    const job_results& results,
+                    std::int64_t after,
+                    std::size_t max_bytes) {
+  std::int64_t first = 0;
+  for (std::size_t page = 0; page < results.sealed.size(); ++page) {
+    const std::int64_t count = results.sealed[page];
+    if (after < first + count) {
+      const auto read = co_await store_->Get(
+          kPageKind, PartName(job, static_cast<std::int64_t>(page)));
+      if (!read) {
+        co_return Fail(read.error());
+      }
+      if (!*read) {
+        co_return Fail(error_kind::internal,
+                       "a page of results of batch job " + job + " is gone");
+      }
+      const auto list = DecodePage((*read)->value);
+      if (!list) {
+        co_return Fail(list.error());
+      }
+      co_return TakeResults(*list, static_cast<std::size_t>(after - first),
+                            max_bytes);
+    }
+    first += count;
+  }
+  co_return TakeResults(
+      results.open,
+      static_cast<std::size_t>(std::max<std::int64_t>(0, after - first)),
+      max_bytes);
+}
+
+boost::asio::awaitable<result<stored_results>> job_store::Append(
+    std::string job,
+    stored_results held,
+    std::vector<job_item_result> fresh) {
+  const auto limit = static_cast<std::size_t>(
+      static_cast<double>(store_->max_value_bytes()) * kPageShare);
+  stored_results next = held;
+  if (!next.results.open.empty() &&
+      TextSize(next.results.open) + TextSize(fresh) > limit) {
+    const result<std::size_t> sealed = co_await Seal(job, next.results);
+    if (!sealed) {
+      co_return Fail(sealed.error());
+    }
+    next.results.sealed.push_back(static_cast<std::int64_t>(*sealed));
+    next.results.open.erase(
+        next.results.open.begin(),
+        next.results.open.begin() + static_cast<std::ptrdiff_t>(*sealed));
+  }
+  std::move(fresh.begin(), fresh.end(), std::back_inserter(next.results.open));
+  const std::string value = EncodeResults(next.results);
+  auto written =
+      held.revision == 0
+          ? co_await store_->Create(kResultKind, job, value)
+          : co_await store_->Replace(kResultKind, job, value, held.revision);
+  if (written) {
+    next.revision = written->revision;
+    co_return next;
+  }
+  if (written.error().ran() == outcome::not_run &&
+      written.error().kind() != error_kind::conflict) {
+    co_return Fail(written.error());
+  }
+  // The write, or an earlier try of it, may have taken effect.
+  const error cause = written.error();
+  backoff delay(kFirstRetry, kMostRetry, Hash64(job));
+  for (int i = 0; i < kReadBackTries; ++i) {
+    auto stored = co_await ReadResults(job);
+    if (stored) {
+      if (stored->results == next.results) {
+        co_return std::move(*stored);
+      }
+      co_return Fail(cause.kind() == error_kind::conflict ||
+                             stored->revision != held.revision
+                         ? error::Make(error_kind::conflict, cause.message())
+                         : cause);
+    }
+    co_await SleepFor(delay.Next());
+  }
+  co_return Fail(cause);
+}
+
+boost::asio::awaitable<result<std::size_t>> job_store::Seal(
+    std::string job,
+    const job_results& results) {
+  const std::string name =
+      PartName(job, static_cast<std::int64_t>(results.sealed.size()));
+  const auto created =
+      co_await store_->Create(kPageKind, name, EncodePage(results.open));
+  if (created) {
+    co_return results.open.size();
+  }
+  if (created.error().kind() != error_kind::conflict) {
+    co_return Fail(created.error());
+  }
+  // Another worker, or an earlier try, has sealed this page and was stopped
+  // before it could say so. What it sealed begins the open results.
+  const auto read = co_await store_->Get(kPageKind, name);
+  if (!read) {
+    co_return Fail(read.error());
+  }
+  if (!*read) {
+    co_return Fail(error_kind::conflict, "page " + name + " has vanished");
+  }
+  const auto page = DecodePage((*read)->value);
+  if (!page) {
+    co_return Fail(page.error());
+  }
+  if (page->size() > results.open.size() ||
+      !std::equal(page->begin(), page->end(), results.open.begin())) {
+    co_return Fail(error_kind::conflict,
+                   "page " + name + " was sealed with other results");
+  }
+  co_return page->size();
+}
+
+boost::asio::awaitable<void> job_store::Remove(job_record record,
+                                               job_results results) {
+  // The record goes last, so that an interrupted removal is found again.
+  for (std::int64_t part = 0; part < record.input_parts; ++part) {
+    co_await store_->Remove(kInputKind, PartName(record.id, part));
+  }
+  for (std::size_t page = 0; page < results.sealed.size(); ++page) {
+    co_await store_->Remove(
+        kPageKind, PartName(record.id, static_cast<std::int64_t>(page)));
+  }
+  co_await store_->Remove(kResultKind, record.id);
+  co_await store_->Remove(kJobKind, record.id);
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/jobs/src/jobs/job_store.h
@@ -0,0 +1,93 @@
+#ifndef CARDAMOMYARD_JOBS_JOB_STORE_H_
+#define CARDAMOMYARD_JOBS_JOB_STORE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/store.h"
+#include "src/jobs/job_record.h"
+
+namespace cardamomyard {
+
+/// A job's record with its revision in the store.
+struct stored_job {
+  job_record record;
+  std::uint64_t revision = 0;
+};
+
+/// A job's results with the revision of their last page; 0 when none is stored.
+struct stored_results {
+  job_results results;
+  std::uint64_t revision = 0;
+};
+
+/// \brief Batch jobs in the platform's store.
+///
+/// Kinds: `batch-input` (items, immutable), `batch-job` (job_record),
+/// `batch-result` (last page of results) and `batch-page` (sealed pages). A job
+/// exists from the creation of its record on, which comes after its input.
+class job_store {
+ public:
+  static constexpr const char* kJobKind = "batch-job";
+
+  job_store(object_store& store, const clock& time);
+
+  /// Stores a job; success when the same job is stored already.
+  /// \returns an error with outcome `not_run` only when the job surely does not
+  /// exist.
+  boost::asio::awaitable<result<void>> Accept(job_record record,
+                                              const job_input& input,
+                                              time_point deadline);
+  boost::asio::awaitable<result<std::optional<stored_job>>> Read(
+      std::string job);
+  /// \returns the new revision, or `conflict`.
+  boost::asio::awaitable<result<std::uint64_t>> Update(job_record record,
+                                                       std::uint64_t revision);
+  /// Marks a job as ended by its caller. \returns `not_found` for a job that
+  /// does not exist or belongs to another account.
+  boost::asio::awaitable<result<void>> End(std::string job,
+                                           std::string account,
+                                           time_point deadline);
+  boost::asio::awaitable<result<job_input>> ReadInput(job_record record);
+  boost::asio::awaitable<result<stored_results>> ReadResults(std::string job);
+  /// \returns the results from position \p after on; at least one if one
+  /// exists, and about \p max_bytes at most.
+  boost::asio::awaitable<result<std::vector<job_item_result>>> ReadFrom(
+      std::string job,
+      const job_results& results,
+      std::int64_t after,
+      std::size_t max_bytes);
+  /// \brief Appends \p fresh to the results that were read at \p held.
+  ///
+  /// A lost answer is resolved by reading back.
+  /// \returns the results as stored, or `conflict` when another worker wrote.
+  boost::asio::awaitable<result<stored_results>> Append(
+      std::string job,
+      stored_results held,
+      std::vector<job_item_result> fresh);
+  /// Removes everything of a job.
+  boost::asio::awaitable<void> Remove(job_record record, job_results results);
+
+ private:
+  /// Writes the open results as a sealed page. \returns how many it holds.
+  boost::asio::awaitable<result<std::size_t>> Seal(std::string job,
+                                                   const job_results& results);
+
+  object_store* store_;
+  const clock* clock_;
+};
+
+/// \returns the results of \p list from \p from on that fit into \p max_bytes,
+/// at least one.
+std::vector<job_item_result> TakeResults(
+    const std::vector<job_item_result>& list,
+    std::size_t from,
+    std::size_t max_bytes);
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_JOBS_JOB_STORE_H_
--- a/packages/limits/include/cardamomyard/limits.h
+++ b/packages/limits/include/cardamomyard/limits.h
@@ -5,6 +5,7 @@
 /// Public header of the package limits: rates of client accounts.
 
 #include "src/limits/account_limiter.h"
+#include "src/limits/fleet_quota.h"
 #include "src/limits/naive_limiter.h"
 #include "src/limits/share_table.h"
 #include "src/limits/token_bucket.h"
--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -1,5 +1,10 @@
 #include "src/net/http_client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/execution/context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -10,6 +15,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
+#include <charconv>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -26,9 +33,22 @@
 
 namespace {
 
-constexpr std::size_t kReadChunkBytes = 64 * 1024;
+constexpr std::size_t kReadChunkBytes = 16 * 1024;
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 constexpr std::size_t kMaxIdlePerServer = 32;
+// A connection without a Keep-Alive header is kept this long. Common servers
+// close idle connections after 5 s.
+constexpr std::chrono::milliseconds kDefaultIdleLife{4000};
+// A kept connection is given up this long before the server closes it, so that
+// a request does not cross the close.
+constexpr std::chrono::milliseconds kIdleMargin{700};
+// A connection whose peer is silent is probed each second and dropped after
+// this time; it then fails instead of hanging.
+constexpr std::chrono::milliseconds kSilenceLimit{2500};
+constexpr int kProbeSeconds = 1;
+constexpr int kProbeCount = 2;
+// Messages that belong to no request are skipped this often at most.
+constexpr int kMaxStrayAnswers = 3;
 constexpr auto kUseResult = asio::as_tuple(asio::use_awaitable);
 
 using plain_stream = beast::tcp_stream;
@@ -42,6 +62,16 @@
   std::variant<plain_stream, tls_stream> stream;
   beast::flat_buffer buffer{kMaxHeaderBytes + kReadChunkBytes};
   bool reused = false;
+  std::chrono::steady_clock::time_point usable_until;
+
+  /// \returns whether the peer has neither closed nor sent anything.
+  bool Quiet() {
+    char byte = 0;
+    const auto got = ::recv(lowest().socket().native_handle(), &byte, 1,
+                            MSG_PEEK | MSG_DONTWAIT);
+    return buffer.size() == 0 && got < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
 
   plain_stream& lowest() {
     return std::visit(
@@ -59,17 +89,26 @@
   connection_ptr Take(const key& where) {
     const std::lock_guard lock(mutex_);
     const auto found = idle_.find(where);
-    if (found == idle_.end() || found->second.empty()) {
+    if (found == idle_.end()) {
       return nullptr;
     }
-    connection_ptr taken = std::move(found->second.back());
-    found->second.pop_back();
-    taken->reused = true;
-    return taken;
+    const auto now = std::chrono::steady_clock::now();
+    while (!found->second.empty()) {
+      connection_ptr taken = std::move(found->second.back());
+      found->second.pop_back();
+      if (now < taken->usable_until && taken->Quiet()) {
+        taken->reused = true;
+        return taken;
+      }
+    }
+    return nullptr;
   }
 
-  void Give(const key& where, connection_ptr link) {
+  void Give(const key& where,
+            connection_ptr link,
+            std::chrono::milliseconds idle_life) {
     link->lowest().expires_never();
+    link->usable_until = std::chrono::steady_clock::now() + idle_life;
     const std::lock_guard lock(mutex_);
     if (closed_) {
       return;
@@ -95,6 +134,34 @@
   std::map<key, std::vector<connection_ptr>> idle_;
 };
 
+/// \returns how long the server keeps an idle connection, less the margin.
+std::chrono::milliseconds IdleLife(const header_list& headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::optional<std::string> field = headers.Get("Keep-Alive");
+  const std::size_t at = field ? field->find(kTimeout) : std::string::npos;
+  if (at == std::string::npos) {
+    return kDefaultIdleLife;
+  }
+  int seconds = 0;
+  const char* begin = field->data() + at + kTimeout.size();
+  std::from_chars(begin, field->data() + field->size(), seconds);
+  return std::chrono::seconds(seconds) - kIdleMargin;
+}
+
+void SetSocketOptions(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const auto set = [&socket](int name, int value) {
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value,
+                 sizeof(value));
+  };
+  set(TCP_KEEPIDLE, kProbeSeconds);
+  set(TCP_KEEPINTVL, kProbeSeconds);
+  set(TCP_KEEPCNT, kProbeCount);
+  set(TCP_USER_TIMEOUT, static_cast<int>(kSilenceLimit.count()));
+}
+
 error CallFailure(const boost::system::error_code& code,
                   const std::string& step,
                   outcome ran) {
@@ -108,13 +175,11 @@
  public:
   using parser_type = http::response_parser<http::buffer_body>;
 
-  call_impl(connection_ptr link,
-            std::unique_ptr<parser_type> parser,
+  call_impl(std::unique_ptr<parser_type> parser,
             call_options options,
             std::shared_ptr<connection_pool> pool,
             connection_pool::key where)
-      : link_(std::move(link)),
-        parser_(std::move(parser)),
+      : parser_(std::move(parser)),
         options_(options),
         pool_(std::move(pool)),
         where_(std::move(where)) {
@@ -124,6 +189,21 @@
     }
   }
 
+  void TakeConnection(connection_ptr link) { link_ = std::move(link); }
+  connection_ptr ReleaseConnection() { return std::move(link_); }
+
+  /// Reads to the end of the message and keeps the connection here.
+  asio::awaitable<result<void>> Skip() {
+    options_.reuse_connection = false;
+    while (!parser_->is_done()) {
+      result<std::string> piece = co_await ReadSome();
+      if (!piece) {
+        co_return Fail(piece.error());
+      }
+    }
+    co_return result<void>();
+  }
+
   int status() const override { return parser_->get().result_int(); }
   const header_list& headers() const override { return headers_; }
 
@@ -132,7 +212,7 @@
       KeepConnection();
       co_return std::string();
     }
-    std::string piece(kReadChunkBytes, '\0');
+    std::array<char, kReadChunkBytes> piece;
     std::size_t got = 0;
     // A chunk header alone may be consumed without any body byte.
     while (got == 0 && !parser_->is_done()) {
@@ -154,8 +234,7 @@
     if (got == 0) {
       KeepConnection();
     }
-    piece.resize(got);
-    co_return piece;
+    co_return std::string(piece.data(), got);
   }
 
   asio::awaitable<result<std::string>> ReadAll(std::size_t limit) override {
@@ -178,6 +257,10 @@
     }
   }
 
+  void SetIdleTimeout(std::chrono::milliseconds timeout) override {
+    options_.idle_timeout = timeout;
+  }
+
   void Cancel() override {
     if (link_ != nullptr) {
       link_->lowest().close();
@@ -188,7 +271,7 @@
   void KeepConnection() {
     if (link_ != nullptr && options_.reuse_connection &&
         parser_->keep_alive()) {
-      pool_->Give(where_, std::move(link_));
+      pool_->Give(where_, std::move(link_), IdleLife(headers_));
     }
   }
 
@@ -200,6 +283,27 @@
   header_list headers_;
 };
 
+/// Lets a canceller close the connection while its answer is awaited.
+class canceller_scope {
+ public:
+  canceller_scope(call_canceller* canceller, connection& link)
+      : canceller_(canceller) {
+    if (canceller_ != nullptr) {
+      canceller_->SetConnection([&link] { link.lowest().close(); });
+    }
+  }
+  ~canceller_scope() {
+    if (canceller_ != nullptr) {
+      canceller_->SetConnection(nullptr);
+    }
+  }
+  canceller_scope(const canceller_scope&) = delete;
+  canceller_scope& operator=(const canceller_scope&) = delete;
+
+ private:
+  call_canceller* canceller_;
+};
+
 class client_impl final : public http_client {
  public:
   explicit client_impl(std::shared_ptr<asio::ssl::context> tls)
@@ -221,12 +325,18 @@
     const auto executor = co_await asio::this_coro::executor;
     const connection_pool::key where{
         &asio::query(executor, asio::execution::context), server};
+    if (options.canceller != nullptr && options.canceller->cancelled()) {
+      co_return Fail(
+          error::Make(error_kind::cancelled, "the call was cancelled")
+              .WithOutcome(outcome::not_run));
+    }
     if (options.reuse_connection) {
       if (connection_ptr kept = pool->Take(where)) {
         auto answer = co_await Exchange(std::move(kept), server, request,
                                         options, pool, where);
         // The server may have closed the kept connection in the meantime.
-        if (answer || answer.error().kind() == error_kind::timeout) {
+        if (answer || !options.resend_on_stale ||
+            answer.error().kind() == error_kind::timeout) {
           co_return answer;
         }
       }
@@ -266,13 +376,18 @@
                                  server.port());
     plain_stream stream(executor);
     stream.expires_after(options.connect_timeout);
+    if (options.canceller != nullptr) {
+      options.canceller->SetConnection([&stream] { stream.close(); });
+    }
     auto [code] = co_await stream.async_connect(endpoint, kUseResult);
+    if (options.canceller != nullptr) {
+      options.canceller->SetConnection(nullptr);
+    }
     if (code) {
       co_return Fail(CallFailure(code, "connecting to " + server.ToString(),
                                  outcome::not_run));
     }
-    boost::system::error_code ignored;
-    stream.socket().set_option(tcp::no_delay(true), ignored);
+    SetSocketOptions(stream.socket());
     if (tls == nullptr) {
       co_return std::make_unique<connection>(std::move(stream));
     }
@@ -297,7 +412,9 @@
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
-    message.set(http::field::host, server.ToString());
+    if (request.headers.Count("Host") == 0) {
+      message.set(http::field::host, server.ToString());
+    }
     for (const http_header& field : request.headers.all()) {
       message.insert(field.name, field.value);
     }
@@ -309,6 +426,7 @@
           error::Make(error_kind::not_ready, "the call may no longer be sent")
               .WithOutcome(outcome::not_run));
     }
+    const canceller_scope cancelling(options.canceller.get(), *link);
     link->lowest().expires_after(options.head_timeout);
     auto [write_code, written] = co_await std::visit(
         [&message](auto& stream) {
@@ -319,21 +437,52 @@
       co_return Fail(CallFailure(write_code, "sending to " + server.ToString(),
                                  outcome::may_have_run));
     }
+    for (int stray = 0; stray <= kMaxStrayAnswers; ++stray) {
+      auto call = co_await ReadHead(link, server, options, pool, where);
+      if (!call) {
+        co_return Fail(call.error());
+      }
+      if (options.is_answer == nullptr ||
+          (*options.is_answer)((*call)->headers())) {
+        (*call)->TakeConnection(std::move(link));
+        co_return std::move(*call);
+      }
+      // Its connection stays with this function; only the body is skipped.
+      (*call)->TakeConnection(std::move(link));
+      result<void> skipped = co_await (*call)->Skip();
+      if (!skipped) {
+        co_return Fail(skipped.error());
+      }
+      link = (*call)->ReleaseConnection();
+    }
+    co_return Fail(error::Make(error_kind::backend_failed,
+                               server.ToString() + " sent only stray answers")
+                       .WithOutcome(outcome::may_have_run));
+  }
+
+  /// Reads the head of the next message. The call gets its connection by
+  /// TakeConnection().
+  static asio::awaitable<result<std::unique_ptr<call_impl>>> ReadHead(
+      const connection_ptr& link,
+      const host_address& server,
+      const call_options& options,
+      const std::shared_ptr<connection_pool>& pool,
+      const connection_pool::key& where) {
     auto parser = std::make_unique<call_impl::parser_type>();
     parser->header_limit(kMaxHeaderBytes);
     parser->body_limit(boost::none);
-    auto [read_code, read] = co_await std::visit(
+    auto [code, read] = co_await std::visit(
         [&](auto& stream) {
           return http::async_read_header(stream, link->buffer, *parser,
                                          kUseResult);
         },
         link->stream);
-    if (read_code) {
-      co_return Fail(CallFailure(read_code, "waiting for " + server.ToString(),
+    if (code) {
+      co_return Fail(CallFailure(code, "waiting for " + server.ToString(),
                                  outcome::may_have_run));
     }
-    co_return std::make_unique<call_impl>(std::move(link), std::move(parser),
-                                          options, pool, where);
+    co_return std::make_unique<call_impl>(std::move(parser), options, pool,
+                                          where);
   }
 
   std::shared_ptr<asio::ssl::context> tls_;
--- a/packages/net/src/net/http_client.h
+++ b/packages/net/src/net/http_client.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "cardamomyard/base.h"
 #include "src/net/host_address.h"
@@ -16,6 +17,28 @@
 
 namespace cardamomyard {
 
+/// \brief Ends a call that is still connecting or waiting for its answer.
+///
+/// Use it on the thread of the io_context that runs the call. A call that is
+/// started after Cancel() fails at once with `not_run`.
+class call_canceller {
+ public:
+  void Cancel() {
+    cancelled_ = true;
+    if (close_) {
+      close_();
+    }
+  }
+  bool cancelled() const { return cancelled_; }
+
+  /// Used by the client: \p close closes the connection in use.
+  void SetConnection(std::function<void()> close) { close_ = std::move(close); }
+
+ private:
+  bool cancelled_ = false;
+  std::function<void()> close_;
+};
+
 /// \brief Time limits and connection use of one call.
 struct call_options {
   std::chrono::milliseconds connect_timeout{1000};
@@ -23,13 +46,21 @@
   std::chrono::milliseconds head_timeout{30'000};
   /// Between two pieces of the answer's body.
   std::chrono::milliseconds idle_timeout{30'000};
-  /// Takes a kept connection when one is idle. A kept connection may turn out
-  /// closed, and then the request is sent a second time on a new one; set it
-  /// only for requests that may be sent twice.
+  /// Takes a kept connection when one is idle, and keeps it afterwards.
   bool reuse_connection = false;
+  /// A kept connection may turn out closed. True sends the request a second
+  /// time on a new one; set it only for requests that may be sent twice.
+  bool resend_on_stale = true;
   /// Asked just before the first byte is written; false ends the call with
   /// `not_run`. It must outlive the call. Null allows every call.
   const std::function<bool()>* may_send = nullptr;
+  /// Asked for each message that arrives; false skips the message and waits for
+  /// the next one, as a server may send a stray answer to an earlier request.
+  /// It must outlive the call. Null accepts every message.
+  const std::function<bool(const header_list&)>* is_answer = nullptr;
+  /// Lets another coroutine of the same thread end the call before its head has
+  /// arrived. Null when nobody does.
+  std::shared_ptr<call_canceller> canceller;
 };
 
 /// \brief An answer whose body is read piece by piece.
@@ -47,6 +78,8 @@
   /// Reads the rest of the body, at most \p limit bytes.
   virtual boost::asio::awaitable<result<std::string>> ReadAll(
       std::size_t limit) = 0;
+  /// Replaces call_options::idle_timeout for the reads that follow.
+  virtual void SetIdleTimeout(std::chrono::milliseconds timeout) = 0;
   /// Closes the connection, so that a waiting read ends with an error. Call it
   /// on the thread of the io_context that opened the call.
   virtual void Cancel() = 0;
--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -30,6 +31,9 @@
 namespace {
 
 constexpr std::size_t kReadChunkBytes = 64 * 1024;
+// Above any limit for heads, since that may be raised while connections are
+// open. The buffer grows only when it is needed.
+constexpr std::size_t kMaxBufferedBytes = 1024 * 1024;
 // Looking up a header takes time in proportion to their number.
 constexpr std::ptrdiff_t kMaxHeaders = 100;
 constexpr auto kUseResult = asio::as_tuple(asio::use_awaitable);
@@ -42,6 +46,10 @@
   http_server_options options;
   http_handler handler;
   std::shared_ptr<asio::ssl::context> tls;
+  // May change while connections are open.
+  std::atomic<std::size_t> max_header_bytes{0};
+  std::atomic<std::chrono::milliseconds> read_timeout{};
+  std::atomic<std::chrono::milliseconds> idle_timeout{};
   std::atomic<bool> draining{false};
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> active{0};
@@ -142,10 +150,14 @@
     if (result<void> ready = co_await SendContinue(); !ready) {
       co_return Fail(ready.error());
     }
-    std::string piece(kReadChunkBytes, '\0');
+    // No more than the rest of a body of known length, which is mostly short.
+    const auto rest = parser_.content_length_remaining();
+    std::string piece(std::min<std::uint64_t>(rest ? *rest : kReadChunkBytes,
+                                              kReadChunkBytes),
+                      '\0');
     parser_.get().body().data = piece.data();
     parser_.get().body().size = piece.size();
-    lowest().expires_after(state_.options.read_timeout);
+    lowest().expires_after(state_.read_timeout.load());
     auto [code, bytes] =
         co_await http::async_read(stream_, buffer_, parser_, kUseResult);
     if (code && code != http::error::need_buffer) {
@@ -234,6 +246,26 @@
     return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
   }
 
+  void WatchPeer(std::function<void()> closed) override {
+    auto& socket = lowest().socket();
+    socket.async_wait(
+        tcp::socket::wait_read,
+        [watch = std::weak_ptr<char>(alive_), &socket,
+         closed = std::move(closed)](const boost::system::error_code& code) {
+          if (code || watch.expired()) {
+            return;
+          }
+          char byte = 0;
+          const auto got =
+              ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+          const bool open =
+              got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+          if (!open) {
+            closed();
+          }
+        });
+  }
+
  private:
   plain_stream& lowest() { return beast::get_lowest_layer(stream_); }
 
@@ -271,6 +303,8 @@
   bool started_ = false;
   bool finished_ = false;
   bool continue_sent_ = false;
+  // Expires with the exchange, so that a late event does not reach it.
+  std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
 /// Answers a request whose head cannot be parsed.
@@ -301,7 +335,7 @@
                                bool first) {
   http::request_parser<http::buffer_body> parser;
   parser.header_limit(
-      static_cast<std::uint32_t>(state.options.max_header_bytes));
+      static_cast<std::uint32_t>(state.max_header_bytes.load()));
   parser.body_limit(boost::none);
   plain_stream& lowest = beast::get_lowest_layer(stream);
   boost::system::error_code code;
@@ -310,8 +344,8 @@
     if (state.draining && !first) {
       co_return false;
     }
-    lowest.expires_after(first ? state.options.read_timeout
-                               : state.options.idle_timeout);
+    lowest.expires_after(first ? state.read_timeout.load()
+                               : state.idle_timeout.load());
     std::size_t bytes = 0;
     std::tie(code, bytes) =
         co_await http::async_read_header(stream, buffer, parser, kUseResult);
@@ -362,7 +396,7 @@
       beast::get_lowest_layer(stream).socket().remote_endpoint(code);
   const std::string remote_ip = code ? "" : remote.address().to_string();
   // The buffer must hold a whole head; bodies are read in pieces.
-  beast::flat_buffer buffer(state->options.max_header_bytes + kReadChunkBytes);
+  beast::flat_buffer buffer(kMaxBufferedBytes);
   bool first = true;
   while (co_await ServeOne(stream, buffer, *state, remote_ip, first)) {
     first = false;
@@ -387,7 +421,7 @@
     co_return;
   }
   tls_stream stream(plain_stream(std::move(socket)), *state->tls);
-  beast::get_lowest_layer(stream).expires_after(state->options.read_timeout);
+  beast::get_lowest_layer(stream).expires_after(state->read_timeout.load());
   auto [code] = co_await stream.async_handshake(asio::ssl::stream_base::server,
                                                 kUseResult);
   if (code) {
@@ -414,6 +448,14 @@
   std::size_t open_connections() const override { return state_->connections; }
   std::size_t active_requests() const override { return state_->active; }
 
+  void SetLimits(std::size_t max_header_bytes,
+                 std::chrono::milliseconds read_timeout,
+                 std::chrono::milliseconds idle_timeout) override {
+    state_->max_header_bytes = max_header_bytes;
+    state_->read_timeout = read_timeout;
+    state_->idle_timeout = idle_timeout;
+  }
+
   void Start() override {
     asio::co_spawn(acceptor_.get_executor(), Accept(), asio::detached);
   }
@@ -495,6 +537,9 @@
                                           options.listen.ToString() + ": " +
                                           code.message());
   }
+  state->max_header_bytes = options.max_header_bytes;
+  state->read_timeout = options.read_timeout;
+  state->idle_timeout = options.idle_timeout;
   state->options = std::move(options);
   state->handler = std::move(handler);
   return std::unique_ptr<http_server>(
--- a/packages/net/src/net/http_server.h
+++ b/packages/net/src/net/http_server.h
@@ -50,6 +50,9 @@
   virtual bool answer_started() const = 0;
   /// \returns whether the caller has closed its side of the connection.
   virtual bool PeerClosed() = 0;
+  /// Calls \p closed once when the caller closes the connection while the
+  /// exchange lasts. Call it after the body has been read.
+  virtual void WatchPeer(std::function<void()> closed) = 0;
 };
 
 using http_handler =
@@ -67,8 +70,8 @@
   host_address listen = host_address::Make("127.0.0.1", 0);
   std::size_t max_header_bytes = 16 * 1024;
   std::size_t max_connections = 10'000;
-  std::chrono::seconds idle_timeout{75};
-  std::chrono::seconds read_timeout{20};
+  std::chrono::milliseconds idle_timeout{75'000};
+  std::chrono::milliseconds read_timeout{20'000};
   std::chrono::seconds write_timeout{20};
   std::optional<tls_files> tls;
 };
@@ -86,6 +89,10 @@
   /// \returns the bound address; its port is set also when 0 was asked for.
   virtual host_address address() const = 0;
   virtual void Start() = 0;
+  /// Replaces the limits for connections and requests that come later.
+  virtual void SetLimits(std::size_t max_header_bytes,
+                         std::chrono::milliseconds read_timeout,
+                         std::chrono::milliseconds idle_timeout) = 0;
   /// Ends keep-alive: each answer from now on closes its connection, and idle
   /// connections close. New connections are still accepted.
   virtual void StartDraining() = 0;
--- a/packages/node/src/node/entry/admin_fleet.cc
+++ b/packages/node/src/node/entry/admin_fleet.cc
@@ -5,7 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "src/node/control_client.h"
-#include "src/node/end_on_exception.h"
+#include "src/telemetry/end_on_exception.h"
 #include "src/node/entry/admin_call.h"
 #include "src/node/entry/admin_json.h"
 #include "src/node/internal_api.h"
--- a/packages/node/src/node/entry/batches_api.cc
+++ b/packages/node/src/node/entry/batches_api.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "src/node/batch_keys.h"
-#include "src/node/end_on_exception.h"
+#include "src/telemetry/end_on_exception.h"
 #include "src/node/entry/batch_format.h"
 #include "src/node/entry/caller_server.h"
 #include "src/node/entry/item_target.h"
--- a/packages/node/src/node/entry/peer_exchange.cc
+++ b/packages/node/src/node/entry/peer_exchange.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "src/node/control_client.h"
-#include "src/node/end_on_exception.h"
+#include "src/telemetry/end_on_exception.h"
 #include "src/node/internal_api.h"
 #include "src/node/suspect_codec.h"
 
--- a/packages/node/src/node/run.cc
+++ b/packages/node/src/node/run.cc
@@ -2,6 +2,7 @@
 
 #include <pthread.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <utility>
@@ -13,6 +14,9 @@
 namespace cardamomyard {
 namespace {
 
+// The process ends soon also when nobody reads its output.
+constexpr std::chrono::milliseconds kFlushLimit{300};
+
 /// Blocks the stop signals in every thread that is started later.
 sigset_t BlockStopSignals() {
   sigset_t stop;
@@ -44,6 +48,7 @@
   // Coroutines that are still suspended refer to parts of the role, and kept
   // connections refer to the threads' contexts: no order of destruction suits
   // both, so the process ends without it. Logs and spans are flushed already.
+  FlushLogs(kFlushLimit);
   std::_Exit(0);
 }
 
--- a/packages/node/src/node/sidecar/group_session.cc
+++ b/packages/node/src/node/sidecar/group_session.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "src/node/batch_keys.h"
-#include "src/node/end_on_exception.h"
+#include "src/telemetry/end_on_exception.h"
 #include "src/node/job_updates.h"
 #include "src/node/stored_record.h"
 
--- a/packages/node/test/admin_api_test.cc
+++ b/packages/node/test/admin_api_test.cc
@@ -50,6 +50,7 @@
   void Abort() override {}
   bool answer_started() const override { return answer.status != 0; }
   bool PeerClosed() override { return false; }
+  void WatchPeer(std::function<void()> /*closed*/) override {}
 
   http_response answer{0, {}, ""};
 
--- a/packages/store/include/cardamomyard/store.h
+++ b/packages/store/include/cardamomyard/store.h
@@ -4,6 +4,8 @@
 /// \file
 /// Public header of the package store: client of the platform's object API.
 
+#include "src/store/object_follower.h"
+#include "src/store/object_store.h"
 #include "src/store/store_client.h"
 
 #endif  // CARDAMOMYARD_STORE_H_
--- /dev/null
+++ b/packages/store/src/store/object_follower.cc
@@ -0,0 +1,99 @@
+#include "src/store/object_follower.h"
+
+#include <utility>
+
+#include "cardamomyard/net.h"
+
+namespace cardamomyard {
+namespace {
+
+// Each expiry of a waiting watch costs a call and shows that the store lives.
+constexpr std::chrono::milliseconds kWatchWait{5000};
+constexpr std::chrono::milliseconds kFirstRetry{60};
+// A host is current again this long, and one call, after an outage.
+constexpr std::chrono::milliseconds kMostRetry{700};
+
+}  // namespace
+
+object_follower::object_follower(object_store& store,
+                                 const clock& time,
+                                 std::string kind,
+                                 follower_events events)
+    : store_(&store),
+      clock_(&time),
+      kind_(std::move(kind)),
+      events_(std::move(events)) {}
+
+boost::asio::awaitable<void> object_follower::Run() {
+  backoff delay(kFirstRetry, kMostRetry,
+                Hash64(kind_, static_cast<std::uint64_t>(
+                                  clock_->Now().time_since_epoch().count())));
+  while (true) {
+    const bool answered = listed_ ? co_await WatchOnce() : co_await ListOnce();
+    if (answered) {
+      delay.Reset();
+    } else {
+      co_await SleepFor(delay.Next());
+    }
+  }
+}
+
+boost::asio::awaitable<bool> object_follower::ListOnce() {
+  const result<store_snapshot> listed =
+      co_await store_->List(kind_, read_freshness::linearizable);
+  if (!listed) {
+    Failed("list", listed.error());
+    co_return false;
+  }
+  Answered();
+  revision_ = listed->revision;
+  listed_ = true;
+  events_.on_snapshot(*listed);
+  co_return true;
+}
+
+boost::asio::awaitable<bool> object_follower::WatchOnce() {
+  const result<store_changes> seen =
+      co_await store_->Watch(kind_, revision_, kWatchWait);
+  if (!seen) {
+    Failed("watch", seen.error());
+    co_return false;
+  }
+  Answered();
+  if (seen->history_lost) {
+    log_.Warning("The store dropped its history; listing again.",
+                 {{"kind", kind_}, {"revision", revision_}});
+    listed_ = false;
+    co_return true;
+  }
+  for (const store_change& change : seen->changes) {
+    events_.on_change(change, seen->revision);
+  }
+  revision_ = std::max(revision_, seen->revision);
+  co_return true;
+}
+
+void object_follower::Answered() {
+  last_answer_ = clock_->Now();
+  if (in_contact_) {
+    return;
+  }
+  in_contact_ = true;
+  log_.Info(ever_failed_ ? "The store answers again." : "The store answers.",
+            {{"kind", kind_}, {"revision", revision_}});
+  events_.on_contact(true);
+}
+
+void object_follower::Failed(std::string_view step, const error& cause) {
+  if (in_contact_ || !ever_failed_) {
+    log_.Warning("The store does not answer.", {{"kind", kind_},
+                                                {"call", step},
+                                                {"reason", cause.message()},
+                                                {"revision", revision_}});
+    events_.on_contact(false);
+  }
+  ever_failed_ = true;
+  in_contact_ = false;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/store/src/store/object_follower.h
@@ -0,0 +1,60 @@
+#ifndef CARDAMOMYARD_STORE_OBJECT_FOLLOWER_H_
+#define CARDAMOMYARD_STORE_OBJECT_FOLLOWER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/telemetry.h"
+#include "src/store/object_store.h"
+
+namespace cardamomyard {
+
+/// \brief What a follower reports. Called on the thread that runs it.
+struct follower_events {
+  /// The whole kind, at the start and after the history was lost.
+  std::function<void(const store_snapshot&)> on_snapshot;
+  std::function<void(const store_change&, std::uint64_t revision)> on_change;
+  /// The store answers again, or no longer.
+  std::function<void(bool in_contact)> on_contact;
+};
+
+/// \brief Keeps a copy of one kind by a listing and a watch after it.
+class object_follower {
+ public:
+  object_follower(object_store& store,
+                  const clock& time,
+                  std::string kind,
+                  follower_events events);
+
+  /// Runs until the process ends.
+  boost::asio::awaitable<void> Run();
+
+  /// \returns when the store last answered a call for this kind.
+  std::optional<time_point> last_answer() const { return last_answer_; }
+  bool in_contact() const { return in_contact_; }
+
+ private:
+  boost::asio::awaitable<bool> ListOnce();
+  boost::asio::awaitable<bool> WatchOnce();
+  void Answered();
+  void Failed(std::string_view step, const error& cause);
+
+  object_store* store_;
+  const clock* clock_;
+  std::string kind_;
+  follower_events events_;
+  part_log log_{"store"};
+  bool listed_ = false;
+  std::uint64_t revision_ = 0;
+  std::optional<time_point> last_answer_;
+  bool in_contact_ = false;
+  bool ever_failed_ = false;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_STORE_OBJECT_FOLLOWER_H_
--- a/packages/node/src/node/end_on_exception.h
+++ b/packages/telemetry/src/telemetry/end_on_exception.h
@@ -1,5 +1,5 @@
-#ifndef CARDAMOMYARD_NODE_END_ON_EXCEPTION_H_
-#define CARDAMOMYARD_NODE_END_ON_EXCEPTION_H_
+#ifndef CARDAMOMYARD_TELEMETRY_END_ON_EXCEPTION_H_
+#define CARDAMOMYARD_TELEMETRY_END_ON_EXCEPTION_H_
 
 #include <exception>
 
@@ -20,4 +20,4 @@
 
 }  // namespace cardamomyard
 
-#endif  // CARDAMOMYARD_NODE_END_ON_EXCEPTION_H_
+#endif  // CARDAMOMYARD_TELEMETRY_END_ON_EXCEPTION_H_
--- a/packages/telemetry/src/telemetry/log.cc
+++ b/packages/telemetry/src/telemetry/log.cc
@@ -1,24 +1,42 @@
 #include "src/telemetry/log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <atomic>
 #include <boost/json.hpp>
+#include <chrono>
+#include <cstdint>
 #include <memory>
+#include <thread>
 
 namespace cardamomyard {
 namespace {
 
+// Lines that wait for a slow reader of standard output; the oldest are dropped
+// beyond it, so that logging never blocks.
+constexpr std::size_t kQueuedLines = 4096;
+// A host logs a few lines a request; more than this a second only comes from
+// a fault that repeats itself.
+constexpr std::int64_t kMaxLinesPerSecond = 500;
+
 struct log_settings {
+  std::shared_ptr<spdlog::details::thread_pool> threads;
   std::shared_ptr<spdlog::logger> sink;
   log_format format = log_format::text;
 };
 
 log_settings& Settings() {
-  static log_settings settings{
-      spdlog::stderr_logger_mt("cardamomyard"),
-      log_format::text,
-  };
+  static log_settings settings = [] {
+    log_settings made;
+    made.threads =
+        std::make_shared<spdlog::details::thread_pool>(kQueuedLines, 1);
+    made.sink = std::make_shared<spdlog::async_logger>(
+        "cardamomyard", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+        made.threads, spdlog::async_overflow_policy::overrun_oldest);
+    return made;
+  }();
   return settings;
 }
 
@@ -60,6 +78,22 @@
   return boost::json::serialize(line).substr(1);
 }
 
+/// Counts lines by second. \returns whether another one may be written;
+/// \p dropped is set to the lines that the last second lost.
+bool WithinRate(std::int64_t& dropped) {
+  static std::atomic<std::int64_t> second{0};
+  static std::atomic<std::int64_t> lines{0};
+  const std::int64_t now =
+      std::chrono::duration_cast<std::chrono::seconds>(
+          std::chrono::steady_clock::now().time_since_epoch())
+          .count();
+  std::int64_t last = second.load();
+  if (last != now && second.compare_exchange_strong(last, now)) {
+    dropped = lines.exchange(0) - kMaxLinesPerSecond;
+  }
+  return ++lines <= kMaxLinesPerSecond;
+}
+
 void Write(log_level level,
            std::string_view part,
            std::string_view sentence,
@@ -69,10 +103,22 @@
   if (!settings.sink->should_log(spdlog_level)) {
     return;
   }
-  settings.sink->log(spdlog_level, "{}",
-                     settings.format == log_format::json
-                         ? JsonLine(part, sentence, fields)
-                         : TextLine(part, sentence, fields));
+  const auto line = [&settings](std::string_view from, std::string_view text,
+                                std::initializer_list<log_field> values) {
+    return settings.format == log_format::json ? JsonLine(from, text, values)
+                                               : TextLine(from, text, values);
+  };
+  std::int64_t dropped = 0;
+  // Errors are rare and pass.
+  const bool allowed = WithinRate(dropped) || level == log_level::error;
+  if (dropped > 0) {
+    settings.sink->log(spdlog::level::warn, "{}",
+                       line("log", "Lines were dropped: too many in a second.",
+                            {{"dropped", dropped}}));
+  }
+  if (allowed) {
+    settings.sink->log(spdlog_level, "{}", line(part, sentence, fields));
+  }
 }
 
 }  // namespace
@@ -88,6 +134,16 @@
           : "%Y-%m-%dT%H:%M:%S.%e%z %l %v");
 }
 
+void FlushLogs(std::chrono::milliseconds limit) {
+  log_settings& settings = Settings();
+  settings.sink->flush();
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (settings.threads->queue_size() > 0 &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+}
+
 void part_log::Debug(std::string_view sentence,
                      std::initializer_list<log_field> fields) const {
   Write(log_level::debug, part_, sentence, fields);
--- a/packages/telemetry/src/telemetry/log.h
+++ b/packages/telemetry/src/telemetry/log.h
@@ -1,6 +1,7 @@
 #ifndef CARDAMOMYARD_TELEMETRY_LOG_H_
 #define CARDAMOMYARD_TELEMETRY_LOG_H_
 
+#include <chrono>
 #include <concepts>
 #include <initializer_list>
 #include <string>
@@ -12,9 +13,16 @@
 enum class log_format { text, json };
 
 /// \brief Sets level and format of all logs of the process; call it once at
-/// start. Logs go to standard error.
+/// start. Logs go to standard output.
+///
+/// Writing never blocks: lines wait in a bounded queue that drops the oldest
+/// when standard output is not read, and at most some hundred lines a second
+/// are taken; a line tells how many were dropped.
 void ConfigureLogs(log_level level, log_format format);
 
+/// Waits until the lines written so far are out, at most \p limit.
+void FlushLogs(std::chrono::milliseconds limit);
+
 /// \brief A named value beside a log sentence.
 struct log_field {
   log_field(std::string_view field_name, std::string_view field_value)
--- a/packages/node/test/end_on_exception_test.cc
+++ b/packages/telemetry/test/end_on_exception_test.cc
@@ -1,4 +1,4 @@
-#include "src/node/end_on_exception.h"
+#include "src/telemetry/end_on_exception.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -83,3 +83,67 @@
   4: i64 share_epoch
   5: i64 retry_after_ms
 }
+
+struct BackendLoad {
+  1: string backend
+  2: i32 online
+  3: i32 batch
+}
+
+struct AccountUse {
+  1: string account
+  2: i64 admitted
+}
+
+struct Backlog {
+  1: string account
+  2: string route
+  3: i64 tokens
+}
+
+struct LoadDigest {
+  1: string host
+  2: string address
+  3: string zone
+  4: i32 role
+  5: i64 incarnation
+  6: i64 sequence
+  7: bool draining
+  8: i64 configuration_revision
+  9: list<BackendLoad> loads
+  10: list<AccountUse> uses
+  11: list<Backlog> backlogs
+  12: i64 store_contact_age_ms
+}
+
+struct InventoryRecord {
+  1: string name
+  2: string value
+  3: i64 revision
+}
+
+struct InventorySnapshot {
+  1: i64 configuration_revision
+  2: string configuration
+  3: list<InventoryRecord> backends
+  4: i64 store_contact_age_ms
+}
+
+struct JobPageRequest {
+  1: string job
+  2: string account
+  3: i64 after
+  4: i64 wait_ms
+}
+
+struct JobItemResult {
+  1: string item
+  2: bool completed
+  3: string text
+}
+
+struct JobPage {
+  1: i32 state
+  2: i64 total
+  3: list<JobItemResult> results
+}
--- a/packages/wire/include/cardamomyard/wire.h
+++ b/packages/wire/include/cardamomyard/wire.h
@@ -6,6 +6,8 @@
 /// processes, encoded with Thrift's compact protocol.
 
 #include "src/wire/codec.h"
+#include "src/wire/fleet_codec.h"
+#include "src/wire/fleet_messages.h"
 #include "src/wire/messages.h"
 
 #endif  // CARDAMOMYARD_WIRE_H_
