--- a/packages/wire/src/wire/codec.cc
+++ b/packages/wire/src/wire/codec.cc
@@ -1,60 +1,27 @@
 #include "src/wire/codec.h"
 
 #include <control_types.h>
-#include <thrift/TConfiguration.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
-#include <memory>
 #include <utility>
 
+#include "src/wire/thrift_buffer.h"
+
 namespace cardamomyard {
 namespace thrift_wire = internal::thrift_wire;
 namespace {
 
-using apache::thrift::TConfiguration;
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
 // A control message of 3,400 suspects and 560 hosts stays well below this.
 constexpr int kMaxMessageBytes = 1 << 20;
 constexpr std::int64_t kNever = -1;
 
-template <class Wire>
-std::string Serialize(const Wire& wire) {
-  auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-  wire.write(&protocol);
-  return buffer->getBufferAsString();
-}
-
 template <class Wire>
 result<Wire> Deserialize(std::string_view bytes) {
-  const auto fail = [](const std::string& reason) {
-    return Fail(error_kind::invalid_request, "control message: " + reason);
-  };
-  if (bytes.size() > kMaxMessageBytes) {
-    return fail("too large");
-  }
-  std::string copy(bytes);
-  auto buffer = std::make_shared<TMemoryBuffer>(
-      reinterpret_cast<std::uint8_t*>(copy.data()),
-      static_cast<std::uint32_t>(copy.size()), TMemoryBuffer::OBSERVE,
-      std::make_shared<TConfiguration>(kMaxMessageBytes));
-  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-  Wire wire;
-  try {
-    wire.read(&protocol);
-  } catch (const apache::thrift::TException& failure) {
-    return fail(failure.what());
-  }
-  if (buffer->available_read() != 0) {
-    return fail("trailing bytes");
-  }
-  return wire;
+  return internal::Deserialize<Wire>(bytes, kMaxMessageBytes);
 }
 
+using internal::Serialize;
+
 std::int64_t FromAge(const event_age& age) {
   return age ? age->count() : kNever;
 }
--- /dev/null
+++ b/packages/wire/src/wire/fleet_codec.cc
@@ -0,0 +1,189 @@
+#include "src/wire/fleet_codec.h"
+
+#include <control_types.h>
+
+#include "src/wire/thrift_buffer.h"
+
+namespace cardamomyard {
+namespace thrift_wire = internal::thrift_wire;
+using internal::ConvertList;
+using internal::Serialize;
+
+namespace {
+
+constexpr std::int64_t kNever = -1;
+// A digest travels in one datagram.
+constexpr int kMaxDigestBytes = 64 * 1024;
+// Configuration and entries of some thousand backend servers.
+constexpr int kMaxSnapshotBytes = 16 << 20;
+// Results of one page, each at most some hundred kilobytes of text.
+constexpr int kMaxPageBytes = 16 << 20;
+
+std::int64_t FromAge(const event_age& age) {
+  return age ? age->count() : kNever;
+}
+
+event_age ToAge(std::int64_t milliseconds) {
+  if (milliseconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
+}  // namespace
+
+std::string Encode(const load_digest& message) {
+  thrift_wire::LoadDigest wire;
+  wire.host = message.host;
+  wire.address = message.address;
+  wire.zone = message.zone;
+  wire.role = static_cast<std::int32_t>(message.role);
+  wire.incarnation = message.incarnation;
+  wire.sequence = message.sequence;
+  wire.draining = message.draining;
+  wire.configuration_revision = message.configuration_revision;
+  wire.loads = ConvertList(message.loads, [](const backend_load& load) {
+    thrift_wire::BackendLoad entry;
+    entry.backend = load.backend;
+    entry.online = load.online;
+    entry.batch = load.batch;
+    return entry;
+  });
+  wire.uses = ConvertList(message.uses, [](const account_use& use) {
+    thrift_wire::AccountUse entry;
+    entry.account = use.account;
+    entry.admitted = use.admitted;
+    return entry;
+  });
+  wire.backlogs = ConvertList(message.backlogs, [](const batch_backlog& log) {
+    thrift_wire::Backlog entry;
+    entry.account = log.account;
+    entry.route = log.route;
+    entry.tokens = log.tokens;
+    return entry;
+  });
+  wire.store_contact_age_ms = FromAge(message.store_contact_age);
+  return Serialize(wire);
+}
+
+template <>
+result<load_digest> Decode(std::string_view bytes) {
+  const auto wire =
+      internal::Deserialize<thrift_wire::LoadDigest>(bytes, kMaxDigestBytes);
+  if (!wire) {
+    return Fail(wire.error());
+  }
+  if (wire->role != static_cast<std::int32_t>(host_role::gateway) &&
+      wire->role != static_cast<std::int32_t>(host_role::worker)) {
+    return Fail(error_kind::invalid_request,
+                "load digest: unknown role " + std::to_string(wire->role));
+  }
+  load_digest message;
+  message.host = wire->host;
+  message.address = wire->address;
+  message.zone = wire->zone;
+  message.role = static_cast<host_role>(wire->role);
+  message.incarnation = wire->incarnation;
+  message.sequence = wire->sequence;
+  message.draining = wire->draining;
+  message.configuration_revision = wire->configuration_revision;
+  message.loads =
+      ConvertList(wire->loads, [](const thrift_wire::BackendLoad& entry) {
+        return backend_load{entry.backend, entry.online, entry.batch};
+      });
+  message.uses =
+      ConvertList(wire->uses, [](const thrift_wire::AccountUse& entry) {
+        return account_use{entry.account, entry.admitted};
+      });
+  message.backlogs =
+      ConvertList(wire->backlogs, [](const thrift_wire::Backlog& entry) {
+        return batch_backlog{entry.account, entry.route, entry.tokens};
+      });
+  message.store_contact_age = ToAge(wire->store_contact_age_ms);
+  return message;
+}
+
+std::string Encode(const inventory_snapshot& message) {
+  thrift_wire::InventorySnapshot wire;
+  wire.configuration_revision = message.configuration_revision;
+  wire.configuration = message.configuration;
+  wire.backends = ConvertList(message.backends, [](const inventory_record& r) {
+    thrift_wire::InventoryRecord entry;
+    entry.name = r.name;
+    entry.value = r.value;
+    entry.revision = r.revision;
+    return entry;
+  });
+  wire.store_contact_age_ms = FromAge(message.store_contact_age);
+  return Serialize(wire);
+}
+
+template <>
+result<inventory_snapshot> Decode(std::string_view bytes) {
+  return internal::Deserialize<thrift_wire::InventorySnapshot>(
+             bytes, kMaxSnapshotBytes)
+      .map([](const thrift_wire::InventorySnapshot& wire) {
+        return inventory_snapshot{
+            wire.configuration_revision, wire.configuration,
+            ConvertList(wire.backends,
+                        [](const thrift_wire::InventoryRecord& entry) {
+                          return inventory_record{entry.name, entry.value,
+                                                  entry.revision};
+                        }),
+            ToAge(wire.store_contact_age_ms)};
+      });
+}
+
+std::string Encode(const job_page_request& message) {
+  thrift_wire::JobPageRequest wire;
+  wire.job = message.job;
+  wire.account = message.account;
+  wire.after = message.after;
+  wire.wait_ms = message.wait.count();
+  return Serialize(wire);
+}
+
+template <>
+result<job_page_request> Decode(std::string_view bytes) {
+  return internal::Deserialize<thrift_wire::JobPageRequest>(bytes,
+                                                            kMaxDigestBytes)
+      .map([](const thrift_wire::JobPageRequest& wire) {
+        return job_page_request{wire.job, wire.account, wire.after,
+                                std::chrono::milliseconds(wire.wait_ms)};
+      });
+}
+
+std::string Encode(const job_page& message) {
+  thrift_wire::JobPage wire;
+  wire.state = static_cast<std::int32_t>(message.state);
+  wire.total = message.total;
+  wire.results = ConvertList(message.results, [](const job_item_result& r) {
+    thrift_wire::JobItemResult entry;
+    entry.item = r.item;
+    entry.completed = r.completed;
+    entry.text = r.text;
+    return entry;
+  });
+  return Serialize(wire);
+}
+
+template <>
+result<job_page> Decode(std::string_view bytes) {
+  const auto wire =
+      internal::Deserialize<thrift_wire::JobPage>(bytes, kMaxPageBytes);
+  if (!wire) {
+    return Fail(wire.error());
+  }
+  job_page page;
+  page.state = wire->state == static_cast<std::int32_t>(job_page_state::known)
+                   ? job_page_state::known
+                   : job_page_state::not_owner;
+  page.total = wire->total;
+  page.results =
+      ConvertList(wire->results, [](const thrift_wire::JobItemResult& entry) {
+        return job_item_result{entry.item, entry.completed, entry.text};
+      });
+  return page;
+}
+
+}  // namespace cardamomyard
--- /dev/null
+++ b/packages/wire/src/wire/fleet_messages.h
@@ -0,0 +1,112 @@
+#ifndef CARDAMOMYARD_WIRE_FLEET_MESSAGES_H_
+#define CARDAMOMYARD_WIRE_FLEET_MESSAGES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "src/wire/messages.h"
+
+namespace cardamomyard {
+
+/// \brief Requests that the sender has in flight at one backend server.
+struct backend_load {
+  std::string backend;
+  std::int32_t online = 0;
+  std::int32_t batch = 0;
+  friend bool operator==(const backend_load&, const backend_load&) = default;
+};
+
+/// \brief Requests of one client account that the sender has admitted since it
+/// started.
+struct account_use {
+  std::string account;
+  std::int64_t admitted = 0;
+  friend bool operator==(const account_use&, const account_use&) = default;
+};
+
+/// \brief Tokens of one account that wait on one batch route at the sender.
+struct batch_backlog {
+  std::string account;
+  std::string route;
+  std::int64_t tokens = 0;
+  friend bool operator==(const batch_backlog&, const batch_backlog&) = default;
+};
+
+enum class host_role : std::int32_t { gateway = 0, worker = 1 };
+
+/// \brief State of one host, sent to its peers by datagram.
+///
+/// Counts are totals and not differences, so a lost digest is repaired by the
+/// next one.
+struct load_digest {
+  std::string host;
+  std::string address;
+  std::string zone;
+  host_role role = host_role::gateway;
+  std::int64_t incarnation = 0;
+  std::int64_t sequence = 0;
+  bool draining = false;
+  std::int64_t configuration_revision = 0;
+  std::vector<backend_load> loads;
+  std::vector<account_use> uses;
+  std::vector<batch_backlog> backlogs;
+  event_age store_contact_age;
+  friend bool operator==(const load_digest&, const load_digest&) = default;
+};
+
+/// \brief One record of the store as the sender holds it.
+struct inventory_record {
+  std::string name;
+  std::string value;
+  std::int64_t revision = 0;
+  friend bool operator==(const inventory_record&,
+                         const inventory_record&) = default;
+};
+
+/// \brief What a host without store contact takes over from a peer.
+struct inventory_snapshot {
+  std::int64_t configuration_revision = 0;
+  std::string configuration;
+  std::vector<inventory_record> backends;
+  event_age store_contact_age;
+  friend bool operator==(const inventory_snapshot&,
+                         const inventory_snapshot&) = default;
+};
+
+/// \brief Asks the owner of a batch job for results from a position on.
+struct job_page_request {
+  std::string job;
+  std::string account;
+  std::int64_t after = 0;
+  std::chrono::milliseconds wait{0};
+  friend bool operator==(const job_page_request&,
+                         const job_page_request&) = default;
+};
+
+/// \brief Final result of one batch item.
+struct job_item_result {
+  std::string item;
+  bool completed = false;
+  std::string text;
+  friend bool operator==(const job_item_result&,
+                         const job_item_result&) = default;
+};
+
+enum class job_page_state : std::int32_t {
+  known = 0,
+  not_owner = 1,  ///< The receiver does not own the job, or not surely.
+};
+
+/// \brief Results from the position asked for.
+struct job_page {
+  job_page_state state = job_page_state::not_owner;
+  std::int64_t total = 0;
+  std::vector<job_item_result> results;
+  friend bool operator==(const job_page&, const job_page&) = default;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_WIRE_FLEET_MESSAGES_H_
