Give the types of the new packages names of their own

Cause: gateways ended with SIGSEGV in the first submission of a batch job; the packages batch and jobs both had a job_record, and the linker kept one. Ruled out: the watch on a caller's connection, the only new use of sockets. Conclusion: renamed; conditional expressions over co_await are gone too, as g++ 12 destroys their operands twice.

--- a/packages/gateway/src/gateway/item_run.cc
+++ b/packages/gateway/src/gateway/active_item.cc
@@ -1,4 +1,4 @@
-#include "src/gateway/item_run.h"
+#include "src/gateway/active_item.h"
 
 #include <utility>
 
@@ -18,13 +18,13 @@
 
 }  // namespace
 
-void item_run::Stop() {
+void active_item::Stop() {
   stopped = true;
   canceller->Cancel();
 }
 
 asio::awaitable<item_run_result> RunItem(host_runtime& host,
-                                         std::shared_ptr<item_run> run,
+                                         std::shared_ptr<active_item> run,
                                          const job_item& input,
                                          open_item before,
                                          std::string route_host,
--- a/packages/gateway/src/gateway/item_run.h
+++ b/packages/gateway/src/gateway/active_item.h
@@ -1,5 +1,5 @@
-#ifndef CARDAMOMYARD_GATEWAY_ITEM_RUN_H_
-#define CARDAMOMYARD_GATEWAY_ITEM_RUN_H_
+#ifndef CARDAMOMYARD_GATEWAY_ACTIVE_ITEM_H_
+#define CARDAMOMYARD_GATEWAY_ACTIVE_ITEM_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
@@ -28,7 +28,7 @@
 };
 
 /// \brief A batch item that runs at a backend server.
-struct item_run {
+struct active_item {
   std::string job;
   std::string item;
   backend_entry backend;
@@ -41,13 +41,14 @@
 
 /// \brief Runs an item from where it stands to its end.
 /// \param before  the item as it stood before the run.
-boost::asio::awaitable<item_run_result> RunItem(host_runtime& host,
-                                                std::shared_ptr<item_run> run,
-                                                const job_item& input,
-                                                open_item before,
-                                                std::string route_host,
-                                                std::string account);
+boost::asio::awaitable<item_run_result> RunItem(
+    host_runtime& host,
+    std::shared_ptr<active_item> run,
+    const job_item& input,
+    open_item before,
+    std::string route_host,
+    std::string account);
 
 }  // namespace cardamomyard
 
-#endif  // CARDAMOMYARD_GATEWAY_ITEM_RUN_H_
+#endif  // CARDAMOMYARD_GATEWAY_ACTIVE_ITEM_H_
--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -7,9 +7,9 @@
 #include <utility>
 
 #include "src/gateway/job_frontend.h"
-#include "src/gateway/online_handler.h"
-#include "src/gateway/online_request.h"
 #include "src/gateway/quota_gate.h"
+#include "src/gateway/request_handler.h"
+#include "src/gateway/request_state.h"
 
 namespace cardamomyard {
 namespace asio = boost::asio;
@@ -58,7 +58,7 @@
         std::make_unique<quota_gate>(made->host_->time(), made->host_->peers(),
                                      made->host_->settings().first_start);
     made->online_ =
-        std::make_unique<online_handler>(*made->host_, *made->quotas_);
+        std::make_unique<request_handler>(*made->host_, *made->quotas_);
     made->jobs_ = std::make_unique<job_frontend>(*made->host_);
     if (result<void> opened = made->Listen(); !opened) {
       return Fail(opened.error());
@@ -218,7 +218,7 @@
       co_await exchange.Send(std::move(answer));
       co_return;
     }
-    auto request = std::make_shared<online_request>();
+    auto request = std::make_shared<request_state>();
     request->exchange = &exchange;
     request->configuration = configuration;
     request->route = route;
@@ -249,7 +249,7 @@
     co_await online_->Handle(exchange, std::move(request));
   }
 
-  static std::chrono::milliseconds Timeout(const caller_request& caller,
+  static std::chrono::milliseconds Timeout(const inbound_request& caller,
                                            const service_route& route) {
     const auto most =
         route.timeout.count() > 0 ? route.timeout : kDefaultTimeout;
@@ -298,7 +298,7 @@
 
   std::unique_ptr<host_runtime> host_;
   std::unique_ptr<quota_gate> quotas_;
-  std::unique_ptr<online_handler> online_;
+  std::unique_ptr<request_handler> online_;
   std::unique_ptr<job_frontend> jobs_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> ready_;
--- a/packages/gateway/src/gateway/job_frontend.cc
+++ b/packages/gateway/src/gateway/job_frontend.cc
@@ -70,7 +70,7 @@
 }
 
 http_response job_frontend::Refuse(const error& cause,
-                                   const caller_request& caller,
+                                   const inbound_request& caller,
                                    std::string_view job) const {
   log_.Info("A call about a batch job was refused.",
             {{"request", caller.id},
@@ -82,7 +82,7 @@
 }
 
 asio::awaitable<http_response> job_frontend::Submit(
-    const caller_request& caller,
+    const inbound_request& caller,
     const service_route& route,
     const std::string& account,
     std::string body) {
@@ -92,7 +92,7 @@
   if (!input) {
     co_return Refuse(input.error(), caller, caller.id);
   }
-  job_record record;
+  fleet_job record;
   record.id = caller.id;
   record.account = account;
   record.route = route.name;
@@ -154,7 +154,7 @@
   co_return host_->codec().JobAccepted();
 }
 
-asio::awaitable<http_response> job_frontend::Call(const caller_request& caller,
+asio::awaitable<http_response> job_frontend::Call(const inbound_request& caller,
                                                   const job_call& call,
                                                   const std::string& account) {
   if (const auto* read = std::get_if<read_job>(&call)) {
@@ -166,7 +166,7 @@
   co_return co_await End(caller, std::get<end_job>(call), account);
 }
 
-asio::awaitable<http_response> job_frontend::Read(const caller_request& caller,
+asio::awaitable<http_response> job_frontend::Read(const inbound_request& caller,
                                                   read_job call,
                                                   std::string account) {
   call.wait = std::min(call.wait, kMostWait);
@@ -284,7 +284,7 @@
 }
 
 asio::awaitable<http_response> job_frontend::ReadItem(
-    const caller_request& caller,
+    const inbound_request& caller,
     read_job_item call,
     std::string account) {
   const auto job = co_await host_->jobs().Read(call.job);
@@ -324,7 +324,7 @@
   co_return host_->codec().JobItemBody(item->body);
 }
 
-asio::awaitable<http_response> job_frontend::End(const caller_request& caller,
+asio::awaitable<http_response> job_frontend::End(const inbound_request& caller,
                                                  end_job call,
                                                  std::string account) {
   const result<void> ended = co_await host_->jobs().End(
--- a/packages/gateway/src/gateway/job_frontend.h
+++ b/packages/gateway/src/gateway/job_frontend.h
@@ -28,24 +28,24 @@
  public:
   explicit job_frontend(host_runtime& host);
 
-  boost::asio::awaitable<http_response> Submit(const caller_request& caller,
+  boost::asio::awaitable<http_response> Submit(const inbound_request& caller,
                                                const service_route& route,
                                                const std::string& account,
                                                std::string body);
-  boost::asio::awaitable<http_response> Call(const caller_request& caller,
+  boost::asio::awaitable<http_response> Call(const inbound_request& caller,
                                              const job_call& call,
                                              const std::string& account);
   /// Forgets a peer's backlog when it is gone for good.
   void OnDigest(const load_digest& digest);
 
  private:
-  boost::asio::awaitable<http_response> Read(const caller_request& caller,
+  boost::asio::awaitable<http_response> Read(const inbound_request& caller,
                                              read_job call,
                                              std::string account);
-  boost::asio::awaitable<http_response> ReadItem(const caller_request& caller,
+  boost::asio::awaitable<http_response> ReadItem(const inbound_request& caller,
                                                  read_job_item call,
                                                  std::string account);
-  boost::asio::awaitable<http_response> End(const caller_request& caller,
+  boost::asio::awaitable<http_response> End(const inbound_request& caller,
                                             end_job call,
                                             std::string account);
   /// Asks workers for results. \returns nothing when none is surely the owner.
@@ -61,7 +61,7 @@
   /// \returns the worker that a new job goes to, empty when none is live.
   std::string ChooseOwner(const std::string& job) const;
   http_response Refuse(const error& cause,
-                       const caller_request& caller,
+                       const inbound_request& caller,
                        std::string_view job) const;
 
   struct recent_job {
--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -236,7 +236,7 @@
     if (excess <= 0) {
       continue;
     }
-    std::vector<std::pair<const open_item*, item_run*>> here;
+    std::vector<std::pair<const open_item*, active_item*>> here;
     for (const auto& [name, run] : runs_) {
       const open_item* item = queue_.Find(name.first, name.second);
       if (run->backend.id == server.entry.id && item != nullptr) {
@@ -294,7 +294,7 @@
     item->running = false;
     return false;
   }
-  auto run = std::make_shared<item_run>();
+  auto run = std::make_shared<active_item>();
   run->job = item->job;
   run->item = item->item;
   run->backend = *backend;
@@ -310,7 +310,7 @@
 }
 
 asio::awaitable<void> job_runner::Run(
-    std::shared_ptr<item_run> run,
+    std::shared_ptr<active_item> run,
     // Keeps the item alive when its job is dropped.
     [[maybe_unused]] std::shared_ptr<const job_input> input,
     const job_item* item,
@@ -460,7 +460,7 @@
     if (job == nullptr || job->stored.record.finished) {
       co_return;
     }
-    job_record record = job->stored.record;
+    fleet_job record = job->stored.record;
     record.finished = true;
     const auto written =
         co_await host_->jobs().Update(record, job->stored.revision);
@@ -499,7 +499,7 @@
 std::vector<batch_backlog> job_runner::Backlogs() const {
   std::map<std::pair<std::string, std::string>, std::int64_t> sums;
   for (const auto& [id, job] : jobs_) {
-    const job_record& record = job->stored.record;
+    const fleet_job& record = job->stored.record;
     if (record.finished || record.ended) {
       continue;
     }
--- a/packages/gateway/src/gateway/job_runner.h
+++ b/packages/gateway/src/gateway/job_runner.h
@@ -13,8 +13,8 @@
 #include "cardamomyard/fleet.h"
 #include "cardamomyard/jobs.h"
 #include "cardamomyard/wire.h"
+#include "src/gateway/active_item.h"
 #include "src/gateway/host_runtime.h"
-#include "src/gateway/item_run.h"
 
 namespace cardamomyard {
 
@@ -57,7 +57,7 @@
 
  private:
   boost::asio::awaitable<void> Load(std::string job);
-  boost::asio::awaitable<void> Run(std::shared_ptr<item_run> run,
+  boost::asio::awaitable<void> Run(std::shared_ptr<active_item> run,
                                    std::shared_ptr<const job_input> input,
                                    const job_item* item,
                                    open_item before,
@@ -76,7 +76,7 @@
   part_log log_{"worker"};
   std::map<std::string, std::unique_ptr<owned_job>> jobs_;
   item_queue queue_;
-  std::map<std::pair<std::string, std::string>, std::shared_ptr<item_run>>
+  std::map<std::pair<std::string, std::string>, std::shared_ptr<active_item>>
       runs_;
   bool stopping_ = false;
   std::uint64_t service_turn_ = 0;
--- a/packages/gateway/src/gateway/protocol.h
+++ b/packages/gateway/src/gateway/protocol.h
@@ -17,7 +17,7 @@
 namespace cardamomyard {
 
 /// \brief What the gateway needs to know of a caller's request.
-struct caller_request {
+struct inbound_request {
   std::string id;
   std::string host;  ///< Host name, without port.
   std::string path;  ///< Target without the query.
@@ -70,7 +70,7 @@
  public:
   virtual ~protocol() = default;
 
-  virtual result<caller_request> ReadCaller(
+  virtual result<inbound_request> ReadCaller(
       const http_request& request) const = 0;
   /// \returns nothing for a request that is not a call about a batch job.
   virtual std::optional<result<job_call>> ReadJobCall(
--- a/packages/gateway/src/gateway/online_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -1,4 +1,4 @@
-#include "src/gateway/online_handler.h"
+#include "src/gateway/request_handler.h"
 
 #include <algorithm>
 #include <utility>
@@ -52,16 +52,16 @@
 
 }  // namespace
 
-online_handler::online_handler(host_runtime& host, quota_gate& quotas)
+request_handler::request_handler(host_runtime& host, quota_gate& quotas)
     : host_(&host),
       quotas_(&quotas),
       placement_(host.settings().zone,
                  Hash64(host.settings().name) ^
                      static_cast<std::uint64_t>(host.incarnation())) {}
 
-asio::awaitable<void> online_handler::Handle(
+asio::awaitable<void> request_handler::Handle(
     http_exchange& exchange,
-    std::shared_ptr<online_request> request) {
+    std::shared_ptr<request_state> request) {
   request->canceller = std::make_shared<call_canceller>();
   exchange.WatchPeer([request] {
     request->caller_left = true;
@@ -71,7 +71,7 @@
   Report(*request);
 }
 
-asio::awaitable<void> online_handler::Serve(online_request& request) {
+asio::awaitable<void> request_handler::Serve(request_state& request) {
   if (crashes_.Refused(request.fingerprint, host_->time().Now())) {
     co_await Refuse(request,
                     error::Make(error_kind::quarantined,
@@ -97,8 +97,8 @@
   }
 }
 
-asio::awaitable<result<place_at>> online_handler::Place(
-    online_request& request) {
+asio::awaitable<result<place_at>> request_handler::Place(
+    request_state& request) {
   const auto objective = request.route->latency_objective;
   const std::chrono::milliseconds patience(static_cast<std::int64_t>(
       kPatienceShare * static_cast<double>(objective.count())));
@@ -133,8 +133,8 @@
   }
 }
 
-std::chrono::milliseconds online_handler::HeadLimit(
-    const online_request& request) const {
+std::chrono::milliseconds request_handler::HeadLimit(
+    const request_state& request) const {
   const auto left = Milliseconds(request.deadline - host_->time().Now());
   const bool can_move =
       request.route->repeatable() && request.sent < request.route->max_attempts;
@@ -146,8 +146,8 @@
                                                 kObjectivesBeforeRetry));
 }
 
-std::chrono::milliseconds online_handler::EventLimit(
-    const online_request& request) const {
+std::chrono::milliseconds request_handler::EventLimit(
+    const request_state& request) const {
   const auto left =
       std::max(std::chrono::milliseconds(1),
                Milliseconds(request.deadline - host_->time().Now()));
@@ -156,8 +156,8 @@
   return can_move ? std::min(left, kEventGap) : left;
 }
 
-asio::awaitable<online_handler::next_step> online_handler::Attempt(
-    online_request& request,
+asio::awaitable<request_handler::next_step> request_handler::Attempt(
+    request_state& request,
     const backend_entry& backend,
     std::chrono::milliseconds wait) {
   forward_fields fields;
@@ -226,8 +226,8 @@
   co_return next;
 }
 
-asio::awaitable<online_handler::next_step> online_handler::TakeAnswer(
-    online_request& request,
+asio::awaitable<request_handler::next_step> request_handler::TakeAnswer(
+    request_state& request,
     const backend_entry& backend,
     http_call& call) {
   const backend_answer answer =
@@ -278,8 +278,8 @@
   co_return co_await RelayWhole(request, backend, call);
 }
 
-asio::awaitable<online_handler::next_step> online_handler::RelayWhole(
-    online_request& request,
+asio::awaitable<request_handler::next_step> request_handler::RelayWhole(
+    request_state& request,
     const backend_entry& backend,
     http_call& call) {
   result<std::string> body = co_await call.ReadAll(kMaxWholeAnswer);
@@ -299,8 +299,8 @@
   co_return next_step::finished;
 }
 
-asio::awaitable<online_handler::next_step> online_handler::RelayEvents(
-    online_request& request,
+asio::awaitable<request_handler::next_step> request_handler::RelayEvents(
+    request_state& request,
     const backend_entry& backend,
     http_call& call) {
   event_reader reader;
@@ -365,8 +365,8 @@
   co_return co_await AfterBreak(request, backend, cause);
 }
 
-asio::awaitable<online_handler::next_step> online_handler::AfterBreak(
-    online_request& request,
+asio::awaitable<request_handler::next_step> request_handler::AfterBreak(
+    request_state& request,
     const backend_entry& backend,
     const error& cause) {
   const time_point now = host_->time().Now();
@@ -400,8 +400,8 @@
   co_return next_step::finished;
 }
 
-asio::awaitable<void> online_handler::Refuse(online_request& request,
-                                             error cause) {
+asio::awaitable<void> request_handler::Refuse(request_state& request,
+                                              error cause) {
   if (request.head_sent) {
     request.outcome_text = "cut";
     request.exchange->Abort();
@@ -421,7 +421,7 @@
   co_await request.exchange->Send(std::move(answer));
 }
 
-void online_handler::Report(const online_request& request) {
+void request_handler::Report(const request_state& request) {
   const time_point now = host_->time().Now();
   const auto total = Milliseconds(now - request.arrived);
   const auto first = request.first_byte
--- a/packages/gateway/src/gateway/online_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -1,5 +1,5 @@
-#ifndef CARDAMOMYARD_GATEWAY_ONLINE_HANDLER_H_
-#define CARDAMOMYARD_GATEWAY_ONLINE_HANDLER_H_
+#ifndef CARDAMOMYARD_GATEWAY_REQUEST_HANDLER_H_
+#define CARDAMOMYARD_GATEWAY_REQUEST_HANDLER_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -11,49 +11,49 @@
 #include "cardamomyard/fleet.h"
 #include "cardamomyard/net.h"
 #include "src/gateway/host_runtime.h"
-#include "src/gateway/online_request.h"
 #include "src/gateway/quota_gate.h"
+#include "src/gateway/request_state.h"
 
 namespace cardamomyard {
 
 /// \brief Serves online requests: places each at a backend server, passes the
 /// answer on, and goes on at another server where the route allows it.
-class online_handler {
+class request_handler {
  public:
-  online_handler(host_runtime& host, quota_gate& quotas);
+  request_handler(host_runtime& host, quota_gate& quotas);
 
   /// Answers the request. Its route and account are settled already.
   boost::asio::awaitable<void> Handle(http_exchange& exchange,
-                                      std::shared_ptr<online_request> request);
+                                      std::shared_ptr<request_state> request);
 
  private:
   /// What to do after one attempt.
   enum class next_step { finished, try_again };
 
-  boost::asio::awaitable<void> Serve(online_request& request);
-  boost::asio::awaitable<next_step> Attempt(online_request& request,
+  boost::asio::awaitable<void> Serve(request_state& request);
+  boost::asio::awaitable<next_step> Attempt(request_state& request,
                                             const backend_entry& backend,
                                             std::chrono::milliseconds wait);
-  boost::asio::awaitable<next_step> TakeAnswer(online_request& request,
+  boost::asio::awaitable<next_step> TakeAnswer(request_state& request,
                                                const backend_entry& backend,
                                                http_call& call);
-  boost::asio::awaitable<next_step> RelayWhole(online_request& request,
+  boost::asio::awaitable<next_step> RelayWhole(request_state& request,
                                                const backend_entry& backend,
                                                http_call& call);
-  boost::asio::awaitable<next_step> RelayEvents(online_request& request,
+  boost::asio::awaitable<next_step> RelayEvents(request_state& request,
                                                 const backend_entry& backend,
                                                 http_call& call);
   /// A server may have run the request and gave no usable answer.
-  boost::asio::awaitable<next_step> AfterBreak(online_request& request,
+  boost::asio::awaitable<next_step> AfterBreak(request_state& request,
                                                const backend_entry& backend,
                                                const error& cause);
   /// Waits until a server has room, for a short time.
-  boost::asio::awaitable<result<place_at>> Place(online_request& request);
-  boost::asio::awaitable<void> Refuse(online_request& request, error cause);
-  std::chrono::milliseconds HeadLimit(const online_request& request) const;
+  boost::asio::awaitable<result<place_at>> Place(request_state& request);
+  boost::asio::awaitable<void> Refuse(request_state& request, error cause);
+  std::chrono::milliseconds HeadLimit(const request_state& request) const;
   /// \returns how long the next event of a stream may take.
-  std::chrono::milliseconds EventLimit(const online_request& request) const;
-  void Report(const online_request& request);
+  std::chrono::milliseconds EventLimit(const request_state& request) const;
+  void Report(const request_state& request);
 
   host_runtime* host_;
   quota_gate* quotas_;
@@ -64,4 +64,4 @@
 
 }  // namespace cardamomyard
 
-#endif  // CARDAMOMYARD_GATEWAY_ONLINE_HANDLER_H_
+#endif  // CARDAMOMYARD_GATEWAY_REQUEST_HANDLER_H_
--- a/packages/gateway/src/gateway/online_request.h
+++ b/packages/gateway/src/gateway/request_state.h
@@ -1,5 +1,5 @@
-#ifndef CARDAMOMYARD_GATEWAY_ONLINE_REQUEST_H_
-#define CARDAMOMYARD_GATEWAY_ONLINE_REQUEST_H_
+#ifndef CARDAMOMYARD_GATEWAY_REQUEST_STATE_H_
+#define CARDAMOMYARD_GATEWAY_REQUEST_STATE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -16,14 +16,14 @@
 namespace cardamomyard {
 
 /// \brief One online request from its arrival to its answer.
-struct online_request {
+struct request_state {
   http_exchange* exchange = nullptr;
   /// Keeps the route alive when the configuration changes.
   std::shared_ptr<const service_map> configuration;
   const service_route* route = nullptr;
   std::string account;   ///< Empty on a route that is open to all.
   bool counted = false;  ///< It took a token of its account's quota.
-  caller_request caller;
+  inbound_request caller;
   std::string body;
   std::uint64_t fingerprint = 0;
   std::string service;
@@ -54,4 +54,4 @@
 
 }  // namespace cardamomyard
 
-#endif  // CARDAMOMYARD_GATEWAY_ONLINE_REQUEST_H_
+#endif  // CARDAMOMYARD_GATEWAY_REQUEST_STATE_H_
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -205,7 +205,7 @@
     if (known == known_.end() || known->second.record.owner != owner) {
       co_return;
     }
-    job_record record = known->second.record;
+    fleet_job record = known->second.record;
     record.owner = host_->settings().name;
     const std::uint64_t seen = known->second.revision;
     const auto written = co_await host_->jobs().Update(record, seen);
@@ -226,7 +226,7 @@
       co_await SleepFor(kCollectPeriod);
       const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
           host_->time().WallNow().time_since_epoch());
-      std::vector<job_record> old;
+      std::vector<fleet_job> old;
       for (const auto& [id, job] : known_) {
         const std::chrono::milliseconds age =
             now - std::chrono::milliseconds(job.record.submitted_unix_ms);
@@ -235,7 +235,7 @@
           old.push_back(job.record);
         }
       }
-      for (const job_record& record : old) {
+      for (const fleet_job& record : old) {
         const auto results = co_await host_->jobs().ReadResults(record.id);
         if (results) {
           log_.Info("An old batch job is removed.", {{"job", record.id}});
--- a/packages/gateway/src/gateway/worker_lease.cc
+++ b/packages/gateway/src/gateway/worker_lease.cc
@@ -26,6 +26,14 @@
   return !released_ && held_until_ && clock_->Now() < *held_until_;
 }
 
+asio::awaitable<result<store_record>> worker_lease::Write(std::string value) {
+  if (revision_ == 0) {
+    co_return co_await store_->Create(kLeaseKind, name_, std::move(value));
+  }
+  co_return co_await store_->Replace(kLeaseKind, name_, std::move(value),
+                                     revision_);
+}
+
 asio::awaitable<bool> worker_lease::Renew() {
   if (released_) {
     co_return false;
@@ -34,20 +42,14 @@
   const time_point sent = clock_->Now();
   const std::string value =
       std::to_string(incarnation_) + " " + std::to_string(++renewals_);
-  auto written =
-      revision_ == 0
-          ? co_await store_->Create(kLeaseKind, name_, value)
-          : co_await store_->Replace(kLeaseKind, name_, value, revision_);
+  result<store_record> written = co_await Write(value);
   if (!written && (written.error().kind() == error_kind::conflict ||
                    written.error().kind() == error_kind::not_found)) {
     // An earlier incarnation, or a renewal whose answer was lost, wrote it.
     const auto held = co_await store_->Get(kLeaseKind, name_);
     if (held) {
       revision_ = *held ? (*held)->revision : 0;
-      written =
-          revision_ == 0
-              ? co_await store_->Create(kLeaseKind, name_, value)
-              : co_await store_->Replace(kLeaseKind, name_, value, revision_);
+      written = co_await Write(value);
     }
   }
   if (written) {
--- a/packages/gateway/src/gateway/worker_lease.h
+++ b/packages/gateway/src/gateway/worker_lease.h
@@ -48,6 +48,8 @@
     time_point since;
   };
 
+  boost::asio::awaitable<result<store_record>> Write(std::string value);
+
   object_store* store_;
   const clock* clock_;
   std::string name_;
--- a/packages/jobs/src/jobs/job_record.cc
+++ b/packages/jobs/src/jobs/fleet_job.cc
@@ -1,4 +1,4 @@
-#include "src/jobs/job_record.h"
+#include "src/jobs/fleet_job.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -83,7 +83,7 @@
   return std::accumulate(sealed.begin(), sealed.end(), std::int64_t{0});
 }
 
-std::string EncodeRecord(const job_record& record) {
+std::string EncodeRecord(const fleet_job& record) {
   return json::serialize(
       json::object{{"account", record.account},
                    {"route", record.route},
@@ -97,11 +97,11 @@
                    {"finished", record.finished}});
 }
 
-result<job_record> DecodeRecord(const std::string& id,
-                                const std::string& value) {
+result<fleet_job> DecodeRecord(const std::string& id,
+                               const std::string& value) {
   return Decode("job", value, [&id](const json::value& parsed) {
     const json::object& fields = parsed.as_object();
-    job_record record;
+    fleet_job record;
     record.id = id;
     record.account = Text(fields, "account");
     record.route = Text(fields, "route");
--- a/packages/jobs/src/jobs/job_record.h
+++ b/packages/jobs/src/jobs/fleet_job.h
@@ -1,5 +1,5 @@
-#ifndef CARDAMOMYARD_JOBS_JOB_RECORD_H_
-#define CARDAMOMYARD_JOBS_JOB_RECORD_H_
+#ifndef CARDAMOMYARD_JOBS_FLEET_JOB_H_
+#define CARDAMOMYARD_JOBS_FLEET_JOB_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -35,7 +35,7 @@
 
 /// \brief The small record of a batch job that all workers watch. Its creation
 /// is the acceptance of the job.
-struct job_record {
+struct fleet_job {
   std::string id;
   std::string account;
   std::string route;        ///< Name of the batch route.
@@ -48,7 +48,7 @@
   bool ended = false;     ///< Its caller ended it.
   bool finished = false;  ///< Every item has a result, or it ended.
 
-  friend bool operator==(const job_record&, const job_record&) = default;
+  friend bool operator==(const fleet_job&, const fleet_job&) = default;
 };
 
 /// \brief The results of a job in the order in which they became final. Pages
@@ -64,14 +64,13 @@
   friend bool operator==(const job_results&, const job_results&) = default;
 };
 
-std::string EncodeRecord(const job_record& record);
+std::string EncodeRecord(const fleet_job& record);
 std::string EncodeInput(const std::vector<job_item>& items);
 std::string EncodeResults(const job_results& results);
 std::string EncodePage(const std::vector<job_item_result>& results);
 
 /// Each returns `internal` for a value that this version cannot read.
-result<job_record> DecodeRecord(const std::string& id,
-                                const std::string& value);
+result<fleet_job> DecodeRecord(const std::string& id, const std::string& value);
 result<std::vector<job_item>> DecodeInput(const std::string& value);
 result<job_results> DecodeResults(const std::string& value);
 result<std::vector<job_item_result>> DecodePage(const std::string& value);
@@ -84,4 +83,4 @@
 
 }  // namespace cardamomyard
 
-#endif  // CARDAMOMYARD_JOBS_JOB_RECORD_H_
+#endif  // CARDAMOMYARD_JOBS_FLEET_JOB_H_
--- a/packages/jobs/src/jobs/job_store.cc
+++ b/packages/jobs/src/jobs/job_store.cc
@@ -52,7 +52,7 @@
 job_store::job_store(object_store& store, const clock& time)
     : store_(&store), clock_(&time) {}
 
-boost::asio::awaitable<result<void>> job_store::Accept(job_record record,
+boost::asio::awaitable<result<void>> job_store::Accept(fleet_job record,
                                                        const job_input& input,
                                                        time_point deadline) {
   const result<std::vector<std::string>> parts = EncodeInputParts(
@@ -85,7 +85,7 @@
   if (!*read) {
     co_return std::optional<stored_job>();
   }
-  result<job_record> record = DecodeRecord(job, (*read)->value);
+  result<fleet_job> record = DecodeRecord(job, (*read)->value);
   if (!record) {
     co_return Fail(record.error());
   }
@@ -93,7 +93,7 @@
 }
 
 boost::asio::awaitable<result<std::uint64_t>> job_store::Update(
-    job_record record,
+    fleet_job record,
     std::uint64_t revision) {
   const auto written = co_await store_->Replace(kJobKind, record.id,
                                                 EncodeRecord(record), revision);
@@ -114,7 +114,7 @@
     }
     error cause = error::Make(error_kind::store_unavailable, "");
     if (held) {
-      job_record record = (*held)->record;
+      fleet_job record = (*held)->record;
       if (record.ended || record.finished) {
         co_return result<void>();
       }
@@ -137,7 +137,7 @@
 }
 
 boost::asio::awaitable<result<job_input>> job_store::ReadInput(
-    job_record record) {
+    fleet_job record) {
   job_input input;
   for (std::int64_t part = 0; part < record.input_parts; ++part) {
     const auto read =
@@ -227,10 +227,13 @@
   }
   std::move(fresh.begin(), fresh.end(), std::back_inserter(next.results.open));
   const std::string value = EncodeResults(next.results);
-  auto written =
-      held.revision == 0
-          ? co_await store_->Create(kResultKind, job, value)
-          : co_await store_->Replace(kResultKind, job, value, held.revision);
+  // Not one conditional expression: g++ 12 destroys its operands twice.
+  result<store_record> written = Fail(error_kind::internal, "");
+  if (held.revision == 0) {
+    written = co_await store_->Create(kResultKind, job, value);
+  } else {
+    written = co_await store_->Replace(kResultKind, job, value, held.revision);
+  }
   if (written) {
     next.revision = written->revision;
     co_return next;
@@ -292,7 +295,7 @@
   co_return page->size();
 }
 
-boost::asio::awaitable<void> job_store::Remove(job_record record,
+boost::asio::awaitable<void> job_store::Remove(fleet_job record,
                                                job_results results) {
   // The record goes last, so that an interrupted removal is found again.
   for (std::int64_t part = 0; part < record.input_parts; ++part) {
--- a/packages/jobs/src/jobs/job_store.h
+++ b/packages/jobs/src/jobs/job_store.h
@@ -9,13 +9,13 @@
 
 #include "cardamomyard/base.h"
 #include "cardamomyard/store.h"
-#include "src/jobs/job_record.h"
+#include "src/jobs/fleet_job.h"
 
 namespace cardamomyard {
 
 /// A job's record with its revision in the store.
 struct stored_job {
-  job_record record;
+  fleet_job record;
   std::uint64_t revision = 0;
 };
 
@@ -27,7 +27,7 @@
 
 /// \brief Batch jobs in the platform's store.
 ///
-/// Kinds: `batch-input` (items, immutable), `batch-job` (job_record),
+/// Kinds: `batch-input` (items, immutable), `batch-job` (fleet_job),
 /// `batch-result` (last page of results) and `batch-page` (sealed pages). A job
 /// exists from the creation of its record on, which comes after its input.
 class job_store {
@@ -39,20 +39,20 @@
   /// Stores a job; success when the same job is stored already.
   /// \returns an error with outcome `not_run` only when the job surely does not
   /// exist.
-  boost::asio::awaitable<result<void>> Accept(job_record record,
+  boost::asio::awaitable<result<void>> Accept(fleet_job record,
                                               const job_input& input,
                                               time_point deadline);
   boost::asio::awaitable<result<std::optional<stored_job>>> Read(
       std::string job);
   /// \returns the new revision, or `conflict`.
-  boost::asio::awaitable<result<std::uint64_t>> Update(job_record record,
+  boost::asio::awaitable<result<std::uint64_t>> Update(fleet_job record,
                                                        std::uint64_t revision);
   /// Marks a job as ended by its caller. \returns `not_found` for a job that
   /// does not exist or belongs to another account.
   boost::asio::awaitable<result<void>> End(std::string job,
                                            std::string account,
                                            time_point deadline);
-  boost::asio::awaitable<result<job_input>> ReadInput(job_record record);
+  boost::asio::awaitable<result<job_input>> ReadInput(fleet_job record);
   boost::asio::awaitable<result<stored_results>> ReadResults(std::string job);
   /// \returns the results from position \p after on; at least one if one
   /// exists, and about \p max_bytes at most.
@@ -70,7 +70,7 @@
       stored_results held,
       std::vector<job_item_result> fresh);
   /// Removes everything of a job.
-  boost::asio::awaitable<void> Remove(job_record record, job_results results);
+  boost::asio::awaitable<void> Remove(fleet_job record, job_results results);
 
  private:
   /// Writes the open results as a sealed page. \returns how many it holds.
