--- a/packages/fleet/src/fleet/service_map.h
+++ b/packages/fleet/src/fleet/service_map.h
@@ -38,6 +38,8 @@
   std::chrono::milliseconds timeout{0};
   /// Latency objective of the answer, or of its first event.
   std::chrono::milliseconds latency_objective{0};
+  /// Of a stream: the longest pause between events that is on time.
+  std::chrono::milliseconds pause_objective{0};
   int priority = 0;        ///< 0 is the most urgent.
   int max_attempts = 1;    ///< Backend servers that one request may be sent to.
   bool open = false;       ///< True: served without a key.
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -24,6 +24,7 @@
 constexpr std::chrono::milliseconds kPeerTimeout{500};
 // Lapsed servers are dropped from the pool this often.
 constexpr std::chrono::milliseconds kRefreshPeriod{200};
+constexpr std::size_t kMaxStoreCallBytes = 8U << 20U;
 constexpr std::chrono::milliseconds kFirstRetry{100};
 constexpr std::chrono::milliseconds kMostRetry{2000};
 
@@ -102,10 +103,12 @@
     return Fail(client.error());
   }
   http_ = std::move(*client);
-  jobs_ = std::make_unique<job_store>(*services_.store, clock_);
+  store_ = std::make_unique<relayed_store>(std::move(services_.store), clock_,
+                                           *http_);
+  jobs_ = std::make_unique<job_store>(*store_, clock_);
   inventory_ = std::make_unique<inventory>(
-      *services_.store, *services_.codec, clock_,
-      settings_.bounds.backend_drain, traffic(), control(),
+      *store_, *services_.codec, clock_, settings_.bounds.backend_drain,
+      traffic(), control(),
       inventory::listener{[this](std::shared_ptr<const service_map> next) {
                             digests().Changed();
                             events_.on_configuration(std::move(next));
@@ -198,8 +201,8 @@
     }
   };
   events.on_contact = [](bool) {};
-  host_follower_ = std::make_unique<object_follower>(
-      *services_.store, clock_, kHostKind, std::move(events));
+  host_follower_ = std::make_unique<object_follower>(*store_, clock_, kHostKind,
+                                                     std::move(events));
   asio::co_spawn(control(), host_follower_->Run(), kEndOnException);
 }
 
@@ -285,10 +288,23 @@
   while (true) {
     co_await SleepFor(kRefreshPeriod);
     pool_.SetBackends(stock().backends().Usable(clock_.Now()));
+    UpdateStorePeers();
     stock().SetWatchWait(WatchesShortly() ? kShortWait : kLongWait);
   }
 }
 
+void host_runtime::UpdateStorePeers() {
+  std::vector<host_address> answered;
+  for (const host_role role : {host_role::worker, host_role::gateway}) {
+    for (const peer_state* peer : peers_.LivePeers(role, clock_.Now())) {
+      if (peer->digest.store_contact_age == std::chrono::milliseconds(0)) {
+        answered.push_back(peer->host.address);
+      }
+    }
+  }
+  store_->SetPeers(std::move(answered));
+}
+
 bool host_runtime::WatchesShortly() const {
   std::vector<std::string> names{settings_.name};
   for (const host_role role : {host_role::gateway, host_role::worker}) {
@@ -333,6 +349,19 @@
     co_await exchange.Send(std::move(answer));
     co_return;
   }
+  if (target == kStorePath) {
+    const auto body = co_await exchange.ReadBody(kMaxStoreCallBytes);
+    const auto call = body ? Decode<store_call>(*body)
+                           : result<store_call>(Fail(body.error()));
+    if (!call) {
+      co_await exchange.Send(ErrorResponse(call.error(), ""));
+      co_return;
+    }
+    http_response answer;
+    answer.body = Encode(co_await store_->Serve(*call));
+    co_await exchange.Send(std::move(answer));
+    co_return;
+  }
   if (target == kMetricsPath) {
     http_response answer;
     answer.headers.Set("Content-Type", "text/plain; version=0.0.4");
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -20,6 +20,7 @@
 #include "src/gateway/host_settings.h"
 #include "src/gateway/inventory.h"
 #include "src/gateway/protocol.h"
+#include "src/gateway/relayed_store.h"
 
 namespace cardamomyard {
 
@@ -63,7 +64,8 @@
   const clock& time() const { return clock_; }
   metrics_registry& metrics() { return metrics_; }
   http_client& http() { return *http_; }
-  object_store& store() { return *services_.store; }
+  /// The store, through a peer while it turns this host away.
+  object_store& store() { return *store_; }
   const protocol& codec() const { return *services_.codec; }
   job_store& jobs() { return *jobs_; }
   inventory& stock() { return *inventory_; }
@@ -92,6 +94,8 @@
   boost::asio::awaitable<void> CatchUpFromPeers();
   boost::asio::awaitable<void> RefreshBackends();
   boost::asio::awaitable<void> HandleInternal(http_exchange& exchange);
+  /// Tells the store which peers can make calls for this host.
+  void UpdateStorePeers();
   /// \returns whether this host keeps its watches short for all.
   bool WatchesShortly() const;
   void FillDigest(load_digest& digest);
@@ -107,6 +111,7 @@
   part_log log_{"host"};
   std::int64_t incarnation_;
   std::unique_ptr<http_client> http_;
+  std::unique_ptr<relayed_store> store_;
   std::unique_ptr<job_store> jobs_;
   peer_table peers_;
   backend_pool pool_;
--- a/packages/gateway/src/gateway/internal_paths.h
+++ b/packages/gateway/src/gateway/internal_paths.h
@@ -8,6 +8,8 @@
 inline constexpr const char* kInventoryPath = "/internal/inventory";
 /// Takes a job_page_request, answers with a job_page.
 inline constexpr const char* kJobPagePath = "/internal/job-page";
+/// Takes a store_call, answers with a store_reply.
+inline constexpr const char* kStorePath = "/internal/store";
 /// Metrics in the text exposition format.
 inline constexpr const char* kMetricsPath = "/metrics";
 
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -12,13 +12,14 @@
 constexpr std::size_t kMaxWholeAnswer = 16U << 20U;
 // A server beside us accepts a connection within a millisecond or two.
 constexpr std::chrono::milliseconds kConnectTimeout{250};
-// Engines produce an event each 30 ms; a silent one is given up after this
-// time when the stream can go on elsewhere. A caller waits two seconds.
-constexpr std::chrono::milliseconds kEventGap{700};
-// A repeatable request without an answer goes elsewhere after this many times
-// the latency objective.
-constexpr int kObjectivesBeforeRetry = 2;
-constexpr std::chrono::milliseconds kLeastHeadLimit{250};
+// A stream that can go on elsewhere is moved after this share of the pause that
+// is on time, so that the pause is still on time when the next server begins.
+constexpr double kPauseShare = 0.6;
+constexpr std::chrono::milliseconds kLeastPauseLimit{150};
+// A repeatable request without an answer goes elsewhere after this share of its
+// latency objective, so that the next answer is still on time.
+constexpr double kHeadShare = 0.6;
+constexpr std::chrono::milliseconds kLeastHeadLimit{60};
 // Share of the latency objective for which a request waits here for a slot.
 // Later refusals leave its caller less time to come back.
 constexpr int kWaitShare = 6;
@@ -34,6 +35,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
 
+std::chrono::milliseconds Share(std::chrono::milliseconds time, double share) {
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(time.count()) * share));
+}
+
 /// Counts a request at its server while it lasts there.
 class load_scope {
  public:
@@ -100,8 +106,7 @@
 asio::awaitable<result<place_at>> request_handler::Place(
     request_state& request) {
   const auto objective = request.route->latency_objective;
-  const std::chrono::milliseconds patience(static_cast<std::int64_t>(
-      kPatienceShare * static_cast<double>(objective.count())));
+  const std::chrono::milliseconds patience = Share(objective, kPatienceShare);
   const time_point give_up =
       std::min(request.deadline, host_->time().Now() + objective / kWaitShare);
   while (true) {
@@ -134,16 +139,18 @@
 }
 
 std::chrono::milliseconds request_handler::HeadLimit(
-    const request_state& request) const {
+    const request_state& request,
+    std::chrono::milliseconds expected_wait) const {
   const auto left = Milliseconds(request.deadline - host_->time().Now());
   const bool can_move =
       request.route->repeatable() && request.sent < request.route->max_attempts;
   if (!can_move) {
     return left;
   }
-  return std::min(left,
-                  std::max(kLeastHeadLimit, request.route->latency_objective *
-                                                kObjectivesBeforeRetry));
+  return std::min(
+      left, expected_wait +
+                std::max(kLeastHeadLimit,
+                         Share(request.route->latency_objective, kHeadShare)));
 }
 
 std::chrono::milliseconds request_handler::EventLimit(
@@ -153,7 +160,13 @@
                Milliseconds(request.deadline - host_->time().Now()));
   const bool can_move =
       request.route->repeatable() && request.sent < request.route->max_attempts;
-  return can_move ? std::min(left, kEventGap) : left;
+  if (!can_move) {
+    return left;
+  }
+  // The first event comes with the head.
+  const auto limit = std::max(
+      kLeastPauseLimit, Share(request.route->pause_objective, kPauseShare));
+  return std::min(left, limit);
 }
 
 asio::awaitable<request_handler::next_step> request_handler::Attempt(
@@ -190,7 +203,7 @@
   const load_scope load(*host_, backend.id);
   const time_point began = host_->time().Now();
   ++request.sent;
-  options.head_timeout = HeadLimit(request);
+  options.head_timeout = HeadLimit(request, wait);
   auto call =
       co_await host_->http().Open(backend.address, std::move(message), options);
   if (request.caller_left) {
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -50,7 +50,9 @@
   /// Waits until a server has room, for a short time.
   boost::asio::awaitable<result<place_at>> Place(request_state& request);
   boost::asio::awaitable<void> Refuse(request_state& request, error cause);
-  std::chrono::milliseconds HeadLimit(const request_state& request) const;
+  std::chrono::milliseconds HeadLimit(
+      const request_state& request,
+      std::chrono::milliseconds expected_wait) const;
   /// \returns how long the next event of a stream may take.
   std::chrono::milliseconds EventLimit(const request_state& request) const;
   void Report(const request_state& request);
--- a/packages/jobs/include/cardamomyard/jobs.h
+++ b/packages/jobs/include/cardamomyard/jobs.h
@@ -6,8 +6,8 @@
 /// who owns them, and which of their items runs next.
 
 #include "src/jobs/event_reader.h"
-#include "src/jobs/item_queue.h"
 #include "src/jobs/fleet_job.h"
+#include "src/jobs/item_queue.h"
 #include "src/jobs/job_store.h"
 
 #endif  // CARDAMOMYARD_JOBS_H_
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -149,3 +149,20 @@
   2: i64 total
   3: list<JobItemResult> results
 }
+
+struct StoreCall {
+  1: i32 operation
+  2: string kind
+  3: string name
+  4: string value
+  5: i64 revision
+}
+
+struct StoreReply {
+  1: string failure
+  2: string ran
+  3: string reason
+  4: bool found
+  5: string value
+  6: i64 revision
+}
--- a/packages/wire/src/wire/fleet_codec.cc
+++ b/packages/wire/src/wire/fleet_codec.cc
@@ -190,4 +190,52 @@
   return page;
 }
 
+std::string Encode(const store_call& message) {
+  thrift_wire::StoreCall wire;
+  wire.operation = static_cast<std::int32_t>(message.operation);
+  wire.kind = message.kind;
+  wire.name = message.name;
+  wire.value = message.value;
+  wire.revision = message.revision;
+  return Serialize(wire);
+}
+
+template <>
+result<store_call> Decode(std::string_view bytes) {
+  const auto wire =
+      internal::Deserialize<thrift_wire::StoreCall>(bytes, kMaxPageBytes);
+  if (!wire) {
+    return Fail(wire.error());
+  }
+  if (wire->operation < static_cast<std::int32_t>(store_operation::get) ||
+      wire->operation >
+          static_cast<std::int32_t>(store_operation::set_status)) {
+    return Fail(
+        error_kind::invalid_request,
+        "store call: unknown operation " + std::to_string(wire->operation));
+  }
+  return store_call{static_cast<store_operation>(wire->operation), wire->kind,
+                    wire->name, wire->value, wire->revision};
+}
+
+std::string Encode(const store_reply& message) {
+  thrift_wire::StoreReply wire;
+  wire.failure = message.failure;
+  wire.ran = message.ran;
+  wire.reason = message.reason;
+  wire.found = message.found;
+  wire.value = message.value;
+  wire.revision = message.revision;
+  return Serialize(wire);
+}
+
+template <>
+result<store_reply> Decode(std::string_view bytes) {
+  return internal::Deserialize<thrift_wire::StoreReply>(bytes, kMaxPageBytes)
+      .map([](const thrift_wire::StoreReply& wire) {
+        return store_reply{wire.failure, wire.ran,   wire.reason,
+                           wire.found,   wire.value, wire.revision};
+      });
+}
+
 }  // namespace cardamomyard
--- a/packages/wire/src/wire/fleet_codec.h
+++ b/packages/wire/src/wire/fleet_codec.h
@@ -14,6 +14,8 @@
 std::string Encode(const inventory_snapshot& message);
 std::string Encode(const job_page_request& message);
 std::string Encode(const job_page& message);
+std::string Encode(const store_call& message);
+std::string Encode(const store_reply& message);
 
 template <>
 result<load_digest> Decode(std::string_view bytes);
@@ -23,6 +25,10 @@
 result<job_page_request> Decode(std::string_view bytes);
 template <>
 result<job_page> Decode(std::string_view bytes);
+template <>
+result<store_call> Decode(std::string_view bytes);
+template <>
+result<store_reply> Decode(std::string_view bytes);
 
 }  // namespace cardamomyard
 
--- a/packages/wire/src/wire/fleet_messages.h
+++ b/packages/wire/src/wire/fleet_messages.h
@@ -110,6 +110,36 @@
   friend bool operator==(const job_page&, const job_page&) = default;
 };
 
+enum class store_operation : std::int32_t {
+  get = 0,
+  create = 1,
+  replace = 2,
+  remove = 3,
+  set_status = 4,
+};
+
+/// \brief A call to the store that a host makes for a peer which the store
+/// does not answer.
+struct store_call {
+  store_operation operation = store_operation::get;
+  std::string kind;
+  std::string name;
+  std::string value;
+  std::int64_t revision = 0;
+  friend bool operator==(const store_call&, const store_call&) = default;
+};
+
+/// \brief The store's answer to a store_call.
+struct store_reply {
+  std::string failure;  ///< Name of the error kind, empty for success.
+  std::string ran;      ///< Name of the outcome of a failed call.
+  std::string reason;
+  bool found = false;
+  std::string value;
+  std::int64_t revision = 0;
+  friend bool operator==(const store_reply&, const store_reply&) = default;
+};
+
 }  // namespace cardamomyard
 
 #endif  // CARDAMOMYARD_WIRE_FLEET_MESSAGES_H_
