Test the whole path on a stand-in of the users' platform

The first run of the tests found two faults: the thread of the asynchronous logs took SIGTERM and ended the process (exit -15 instead of a planned stop), and a stream that broke off at every server was given up although attempts were left. Ruled out: the order of blocking signals in the adapter alone, since the product's own roles start their logs first, too. Conclusion: the logs' thread blocks all signals; servers are tried a second time once.

--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -93,6 +93,14 @@
       request.exchange->Abort();
       co_return;
     }
+    if (!place && place.error().kind() == error_kind::no_backend &&
+        request.route->repeatable() && !request.tried.empty() &&
+        !request.second_round) {
+      // Every server has been tried; one that broke off may serve again.
+      request.second_round = true;
+      request.tried.clear();
+      continue;
+    }
     if (!place) {
       co_await Refuse(request, place.error());
       co_return;
--- a/packages/gateway/src/gateway/request_state.h
+++ b/packages/gateway/src/gateway/request_state.h
@@ -33,7 +33,8 @@
 
   /// Servers that it was sent to or that could not be reached.
   std::set<std::string> tried;
-  int sent = 0;  ///< Servers that it was sent to.
+  bool second_round = false;  ///< All were tried once and are tried again.
+  int sent = 0;               ///< Servers that it was sent to.
   bool may_have_run = false;
   bool offered = false;
 
--- a/packages/telemetry/src/telemetry/log.cc
+++ b/packages/telemetry/src/telemetry/log.cc
@@ -1,5 +1,6 @@
 #include "src/telemetry/log.h"
 
+#include <pthread.h>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -7,6 +8,7 @@
 #include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <memory>
 #include <thread>
@@ -30,8 +32,14 @@
 log_settings& Settings() {
   static log_settings settings = [] {
     log_settings made;
+    // Signals are for the threads of the program: one that is delivered to the
+    // thread of the logs would end the process.
     made.threads =
-        std::make_shared<spdlog::details::thread_pool>(kQueuedLines, 1);
+        std::make_shared<spdlog::details::thread_pool>(kQueuedLines, 1, [] {
+          sigset_t all;
+          sigfillset(&all);
+          pthread_sigmask(SIG_BLOCK, &all, nullptr);
+        });
     made.sink = std::make_shared<spdlog::async_logger>(
         "cardamomyard", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
         made.threads, spdlog::async_overflow_policy::overrun_oldest);
--- /dev/null
+++ b/standins/platform/platform_engine.cc
@@ -0,0 +1,107 @@
+#include "platform/platform_engine.h"
+
+#include <cstdlib>
+#include <utility>
+
+namespace cardamomyard::standins {
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 1U << 20U;
+
+/// Takes one of a number of faults. \returns whether there was one left.
+bool Take(std::atomic<int>& faults) {
+  int left = faults.load();
+  while (left > 0) {
+    if (faults.compare_exchange_weak(left, left - 1)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+platform_engine::platform_engine(std::string id, int slots)
+    : id_(std::move(id)), slots_(slots) {}
+
+std::string platform_engine::Event(int number) {
+  return "token-" + std::to_string(number);
+}
+
+std::map<std::string, int> platform_engine::runs() {
+  const std::lock_guard lock(mutex_);
+  return runs_;
+}
+
+std::vector<std::string> platform_engine::keys() {
+  const std::lock_guard lock(mutex_);
+  return keys_;
+}
+
+std::vector<std::string> platform_engine::accounts() {
+  const std::lock_guard lock(mutex_);
+  return accounts_;
+}
+
+asio::awaitable<void> platform_engine::Handle(http_exchange& exchange) {
+  const http_request request = exchange.request();
+  const auto body = co_await exchange.ReadBody(kMaxBodyBytes);
+  const std::string request_id = request.headers.Get("Request-Id").value_or("");
+  http_response refusal;
+  refusal.headers.Set("Request-Id", request_id);
+  const auto target = request.headers.Get("Target-Instance");
+  if (target && *target != id_) {
+    refusal.status = 421;
+    co_await exchange.Send(std::move(refusal));
+    co_return;
+  }
+  if (running_ >= slots_ || Take(refusals_)) {
+    refusal.status = 503;
+    refusal.headers.Set("Not-Executed", "1");
+    co_await exchange.Send(std::move(refusal));
+    co_return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    ++runs_[request_id];
+    if (const auto key = request.headers.Get("Authorization")) {
+      keys_.push_back(*key);
+    }
+    accounts_.push_back(request.headers.Get("Tenant").value_or(""));
+  }
+  if (body && body->starts_with(kImpossible)) {
+    refusal.status = 422;
+    co_await exchange.Send(std::move(refusal));
+    co_return;
+  }
+  ++running_;
+  const bool cut = Take(cuts_);
+  header_list headers;
+  headers.Set("Request-Id", request_id);
+  headers.Set("Response-Signature", "signed-by-" + id_);
+  headers.Set("Content-Type", "text/event-stream");
+  co_await exchange.StartStream(200, std::move(headers));
+  const int first =
+      std::atoi(request.headers.Get("Last-Event-Id").value_or("0").c_str()) + 1;
+  for (int number = first; number <= kEvents; ++number) {
+    co_await SleepFor(kEventTime);
+    const std::string event =
+        "id: " + std::to_string(number) + "\ndata: " + Event(number) + "\n\n";
+    if (cut && number == kEvents / 2) {
+      co_await exchange.Write(event.substr(0, event.size() / 2));
+      --running_;
+      exchange.Abort();
+      co_return;
+    }
+    if (!co_await exchange.Write(event)) {
+      --running_;
+      co_return;
+    }
+  }
+  --running_;
+  co_await exchange.Finish();
+}
+
+}  // namespace cardamomyard::standins
--- /dev/null
+++ b/standins/platform/platform_engine.h
@@ -0,0 +1,57 @@
+#ifndef CARDAMOMYARD_STANDINS_PLATFORM_PLATFORM_ENGINE_H_
+#define CARDAMOMYARD_STANDINS_PLATFORM_PLATFORM_ENGINE_H_
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "common/service_host.h"
+
+namespace cardamomyard::standins {
+
+/// \brief A backend server of the users' platform: answers each request with a
+/// stream of numbered events, resumes, and fails on demand.
+class platform_engine final : public service {
+ public:
+  static constexpr int kEvents = 12;
+  static constexpr std::chrono::milliseconds kEventTime{10};
+  /// A request whose body begins so can never be done.
+  static constexpr const char* kImpossible = "impossible";
+
+  platform_engine(std::string id, int slots);
+
+  boost::asio::awaitable<void> Handle(http_exchange& exchange) override;
+
+  /// The next \p count streams break off in the middle of an event.
+  void CutNext(int count) { cuts_ = count; }
+  /// The next \p count requests are refused as if the server were full.
+  void RefuseNext(int count) { refusals_ = count; }
+
+  /// \returns how often each request was run, by its id.
+  std::map<std::string, int> runs();
+  /// \returns keys that reached the server; there must be none.
+  std::vector<std::string> keys();
+  std::vector<std::string> accounts();
+  int running() const { return running_; }
+
+  /// \returns the data of one event.
+  static std::string Event(int number);
+
+ private:
+  std::string id_;
+  int slots_;
+  std::atomic<int> running_{0};
+  std::atomic<int> cuts_{0};
+  std::atomic<int> refusals_{0};
+  std::mutex mutex_;
+  std::map<std::string, int> runs_;
+  std::vector<std::string> keys_;
+  std::vector<std::string> accounts_;
+};
+
+}  // namespace cardamomyard::standins
+
+#endif  // CARDAMOMYARD_STANDINS_PLATFORM_PLATFORM_ENGINE_H_
--- /dev/null
+++ b/standins/platform/platform_store.cc
@@ -0,0 +1,222 @@
+#include "platform/platform_store.h"
+
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace cardamomyard::standins {
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kRoot = "/v1/objects/";
+constexpr std::string_view kStatusSuffix = "/status";
+constexpr std::size_t kMaxBodyBytes = 2U << 20U;
+constexpr std::chrono::milliseconds kWatchPoll{3};
+
+std::optional<std::uint64_t> QueryNumber(std::string_view query,
+                                         std::string_view name) {
+  const std::size_t at = query.find(std::string(name) + "=");
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::uint64_t value = 0;
+  const char* begin = query.data() + at + name.size() + 1;
+  std::from_chars(begin, query.data() + query.size(), value);
+  return value;
+}
+
+http_response Plain(int status) {
+  return JsonResponse(status, "{}");
+}
+
+}  // namespace
+
+json::object platform_store::ToJson(const std::string& name,
+                                    const object& held) {
+  return {{"metadata", json::object{{"name", name},
+                                    {"revision", held.revision},
+                                    {"finalizers", json::array{}},
+                                    {"deleting", false}}},
+          {"spec", held.spec},
+          {"status", held.status}};
+}
+
+void platform_store::Change(const std::string& kind,
+                            const std::string& name,
+                            bool removed) {
+  object& held = kinds_[kind][name];
+  held.revision = ++revision_;
+  history_.push_back(
+      {revision_, kind,
+       json::object{{"deleted", removed}, {"object", ToJson(name, held)}}});
+  if (removed) {
+    kinds_[kind].erase(name);
+  }
+}
+
+void platform_store::Compact() {
+  const std::lock_guard lock(mutex_);
+  history_.clear();
+  oldest_ = ++revision_;
+}
+
+void platform_store::Put(const std::string& kind,
+                         const std::string& name,
+                         json::value spec) {
+  const std::lock_guard lock(mutex_);
+  kinds_[kind][name].spec = std::move(spec);
+  Change(kind, name, false);
+}
+
+void platform_store::Erase(const std::string& kind, const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  if (kinds_[kind].contains(name)) {
+    Change(kind, name, true);
+  }
+}
+
+json::value platform_store::Spec(const std::string& kind,
+                                 const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  const auto found = kinds_[kind].find(name);
+  return found == kinds_[kind].end() ? json::value() : found->second.spec;
+}
+
+json::value platform_store::Status(const std::string& kind,
+                                   const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  const auto found = kinds_[kind].find(name);
+  return found == kinds_[kind].end() ? json::value() : found->second.status;
+}
+
+http_response platform_store::Read(const std::string& kind,
+                                   const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  auto& objects = kinds_[kind];
+  if (!name.empty()) {
+    const auto found = objects.find(name);
+    return found == objects.end()
+               ? Plain(404)
+               : JsonResponse(200,
+                              json::serialize(ToJson(name, found->second)));
+  }
+  json::array items;
+  for (const auto& [id, held] : objects) {
+    items.push_back(ToJson(id, held));
+  }
+  return JsonResponse(200,
+                      json::serialize(json::object{{"items", std::move(items)},
+                                                   {"has-more", false},
+                                                   {"at", revision_}}));
+}
+
+http_response platform_store::Write(const http_request& request,
+                                    const std::string& body,
+                                    const std::string& kind,
+                                    std::string name,
+                                    bool status) {
+  const std::lock_guard lock(mutex_);
+  auto& objects = kinds_[kind];
+  if (request.method == "DELETE") {
+    if (!objects.contains(name)) {
+      return Plain(404);
+    }
+    Change(kind, name, true);
+    return Plain(200);
+  }
+  const json::object sent = json::parse(body).as_object();
+  const json::object& metadata = sent.at("metadata").as_object();
+  if (request.method == "POST") {
+    name = std::string(metadata.at("name").as_string());
+    if (objects.contains(name)) {
+      return JsonResponse(409, json::serialize(ToJson(name, objects[name])));
+    }
+  } else if (!objects.contains(name)) {
+    return Plain(404);
+  }
+  object& held = objects[name];
+  if (const auto* expected = metadata.if_contains("revision");
+      expected != nullptr &&
+      expected->to_number<std::uint64_t>() != held.revision) {
+    return JsonResponse(409, json::serialize(ToJson(name, held)));
+  }
+  (status ? held.status : held.spec) = sent.at(status ? "status" : "spec");
+  Change(kind, name, false);
+  return JsonResponse(200, json::serialize(ToJson(name, objects[name])));
+}
+
+asio::awaitable<http_response> platform_store::Watch(
+    const std::string& kind,
+    std::uint64_t after,
+    std::chrono::milliseconds wait) {
+  const auto end = std::chrono::steady_clock::now() + wait;
+  while (true) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (after < oldest_) {
+        co_return Plain(410);
+      }
+      json::array events;
+      for (const event& past : history_) {
+        if (past.revision > after && past.kind == kind) {
+          events.push_back(past.entry);
+        }
+      }
+      if (!events.empty() || std::chrono::steady_clock::now() >= end) {
+        co_return JsonResponse(
+            200, json::serialize(json::object{{"events", std::move(events)},
+                                              {"at", revision_}}));
+      }
+    }
+    co_await SleepFor(kWatchPoll);
+  }
+}
+
+asio::awaitable<void> platform_store::Handle(http_exchange& exchange) {
+  ++calls_;
+  const http_request request = exchange.request();
+  const auto body = co_await exchange.ReadBody(kMaxBodyBytes);
+  if (condition_ == condition::refusing) {
+    co_await exchange.Send(Plain(503));
+    co_return;
+  }
+  std::string_view target = request.target;
+  const std::size_t mark = target.find('?');
+  const std::string query(
+      mark == std::string_view::npos ? "" : target.substr(mark + 1));
+  target = target.substr(0, mark);
+  if (!body || !target.starts_with(kRoot)) {
+    co_await exchange.Send(Plain(400));
+    co_return;
+  }
+  target.remove_prefix(kRoot.size());
+  const bool status = target.ends_with(kStatusSuffix);
+  if (status) {
+    target.remove_suffix(kStatusSuffix.size());
+  }
+  const std::size_t slash = target.find('/');
+  const std::string kind(target.substr(0, slash));
+  const std::string name(
+      slash == std::string_view::npos ? "" : target.substr(slash + 1));
+  http_response answer;
+  if (request.method == "GET") {
+    if (const auto after = QueryNumber(query, "watch")) {
+      answer = co_await Watch(
+          kind, *after,
+          std::chrono::milliseconds(QueryNumber(query, "wait-ms").value_or(0)));
+    } else {
+      answer = Read(kind, name);
+    }
+  } else {
+    answer = Write(request, *body, kind, name, status);
+    if (condition_ == condition::losing && ++writes_ % 2 == 1) {
+      exchange.Abort();
+      co_return;
+    }
+  }
+  co_await exchange.Send(std::move(answer));
+}
+
+}  // namespace cardamomyard::standins
--- /dev/null
+++ b/standins/platform/platform_store.h
@@ -0,0 +1,80 @@
+#ifndef CARDAMOMYARD_STANDINS_PLATFORM_PLATFORM_STORE_H_
+#define CARDAMOMYARD_STANDINS_PLATFORM_PLATFORM_STORE_H_
+
+#include <atomic>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "common/service_host.h"
+
+namespace cardamomyard::standins {
+
+/// \brief The users' metadata store: objects by kind and name with one revision
+/// counter, conditional writes, watches and a history.
+class platform_store final : public service {
+ public:
+  /// What a call meets.
+  enum class condition {
+    serving,
+    refusing,  ///< Answers 503 and does nothing.
+    losing,    ///< Writes are done; every second one gets no answer.
+  };
+
+  boost::asio::awaitable<void> Handle(http_exchange& exchange) override;
+
+  void SetCondition(condition next) { condition_ = next; }
+  /// Drops the history, so that older watches are answered with 410.
+  void Compact();
+  /// Writes as the operator or a server does.
+  void Put(const std::string& kind,
+           const std::string& name,
+           boost::json::value spec);
+  void Erase(const std::string& kind, const std::string& name);
+  /// \returns the spec, or null.
+  boost::json::value Spec(const std::string& kind, const std::string& name);
+  /// \returns the status, or null.
+  boost::json::value Status(const std::string& kind, const std::string& name);
+  int calls() const { return calls_; }
+
+ private:
+  struct object {
+    std::uint64_t revision = 0;
+    boost::json::value spec;
+    boost::json::value status;
+  };
+  struct event {
+    std::uint64_t revision = 0;
+    std::string kind;
+    boost::json::object entry;
+  };
+
+  static boost::json::object ToJson(const std::string& name,
+                                    const object& held);
+  void Change(const std::string& kind, const std::string& name, bool removed);
+  http_response Read(const std::string& kind, const std::string& name);
+  http_response Write(const http_request& request,
+                      const std::string& body,
+                      const std::string& kind,
+                      std::string name,
+                      bool status);
+  boost::asio::awaitable<http_response> Watch(const std::string& kind,
+                                              std::uint64_t after,
+                                              std::chrono::milliseconds wait);
+
+  std::mutex mutex_;
+  std::map<std::string, std::map<std::string, object>> kinds_;
+  std::deque<event> history_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t oldest_ = 0;
+  std::atomic<condition> condition_{condition::serving};
+  std::atomic<int> calls_{0};
+  std::atomic<int> writes_{0};
+};
+
+}  // namespace cardamomyard::standins
+
+#endif  // CARDAMOMYARD_STANDINS_PLATFORM_PLATFORM_STORE_H_
--- /dev/null
+++ b/test/platform_path_test.cc
@@ -0,0 +1,305 @@
+#include <gtest/gtest.h>
+
+#include <future>
+#include <set>
+#include <string>
+
+#include "platform_fixture.h"
+
+namespace cardamomyard {
+namespace {
+
+int CountEvents(const std::string& body) {
+  int events = 0;
+  for (std::size_t at = body.find("data: "); at != std::string::npos;
+       at = body.find("data: ", at + 1)) {
+    ++events;
+  }
+  return events;
+}
+
+// Guards against a stream that loses or repeats events, or a key that reaches a
+// server, on the way through a gateway.
+TEST_F(platform_fixture, Rule05_StreamIsServedWholeForTheKeysAccount) {
+  const host gateway = StartGateway("g1");
+  const auto answer =
+      client_.Stream(gateway.front, Request("POST", "/draft/1", "r1", "hello"));
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(answer.whole) << answer.failure;
+  EXPECT_EQ(CountEvents(answer.body), standins::platform_engine::kEvents);
+  EXPECT_TRUE(answer.headers.Get("Response-Signature"));
+  for (standins::platform_engine* engine : engines_) {
+    EXPECT_TRUE(engine->keys().empty());
+    for (const std::string& account : engine->accounts()) {
+      EXPECT_EQ(account, "acme");
+    }
+  }
+  EXPECT_EQ(
+      client_.Call(gateway.front, Request("POST", "/none/1", "r2")).status,
+      404);
+  EXPECT_EQ(
+      client_.Call(gateway.front, Request("POST", "/ask/1", "r3", "", "wrong"))
+          .status,
+      401);
+}
+
+// Guards against a stream that a broken server ends although it could go on.
+TEST_F(platform_fixture, Rule08_CutStreamGoesOnAtAnotherServer) {
+  const host gateway = StartGateway("g1");
+  for (standins::platform_engine* engine : engines_) {
+    engine->CutNext(1);
+  }
+  const auto answer =
+      client_.Stream(gateway.front, Request("POST", "/ask/1", "r1", "hello"));
+  EXPECT_TRUE(answer.whole) << answer.failure << Log("g1");
+  EXPECT_EQ(CountEvents(answer.body), standins::platform_engine::kEvents);
+}
+
+// Guards against a second run of a stream that may not be repeated, and against
+// a cut answer that looks finished.
+TEST_F(platform_fixture, Rule10_CutStreamThatMayNotBeRepeatedEndsAsCut) {
+  const host gateway = StartGateway("g1");
+  for (standins::platform_engine* engine : engines_) {
+    engine->CutNext(1);
+  }
+  const auto answer =
+      client_.Stream(gateway.front, Request("POST", "/draft/1", "r1", "hello"));
+  EXPECT_FALSE(answer.whole);
+  int runs = 0;
+  for (standins::platform_engine* engine : engines_) {
+    for (const auto& [id, count] : engine->runs()) {
+      runs += count;
+    }
+  }
+  EXPECT_EQ(runs, 1);
+}
+
+// Guards against a refusal without Retry-After, or one that waited.
+TEST_F(platform_fixture, Rule09_RefusedRequestIsAnsweredAtOnceAndHasNotRun) {
+  const host gateway = StartGateway("g1");
+  for (standins::platform_engine* engine : engines_) {
+    engine->RefuseNext(1);
+  }
+  const auto began = std::chrono::steady_clock::now();
+  const auto answer =
+      client_.Call(gateway.front, Request("POST", "/draft/1", "r1", "hello"));
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_TRUE(answer.headers.Get("Retry-After"));
+  EXPECT_LT(std::chrono::steady_clock::now() - began, milliseconds(1000));
+  for (standins::platform_engine* engine : engines_) {
+    EXPECT_TRUE(engine->runs().empty());
+  }
+}
+
+// Guards against work for a server that has announced that it leaves.
+TEST_F(platform_fixture, Rule11_LeavingServerGetsNothingNew) {
+  const host gateway = StartGateway("g1");
+  RegisterEngine("engine-0", engine_hosts_[0]->address(), "draining");
+  std::this_thread::sleep_for(milliseconds(500));
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(client_
+                  .Call(gateway.front, Request("POST", "/draft/1",
+                                               "r" + std::to_string(i), "x"))
+                  .status,
+              200);
+  }
+  EXPECT_TRUE(engines_[0]->runs().empty());
+}
+
+// Guards against a key that works on after it was withdrawn, also when the
+// store's watches lost the change.
+TEST_F(platform_fixture, Rule06_WithdrawnKeyStopsWorkingAfterLostHistory) {
+  const host gateway = StartGateway("g1");
+  ASSERT_EQ(client_.Call(gateway.front, Request("POST", "/draft/1", "r1", "x"))
+                .status,
+            200);
+  Configure(2, {"another-key"});
+  store_->Compact();
+  EXPECT_TRUE(Eventually(
+      [&] {
+        return client_
+                   .Call(gateway.front, Request("POST", "/draft/1", "r2", "x"))
+                   .status == 401;
+      },
+      milliseconds(2000)))
+      << Log("g1");
+}
+
+// Guards against a planned stop that cuts a stream.
+TEST_F(platform_fixture, Rule12_PlannedStopFinishesWhatRuns) {
+  const host gateway = StartGateway("g1");
+  std::promise<void> begun;
+  bool first = true;
+  auto stream = std::async(std::launch::async, [&] {
+    return client_.Stream(gateway.front, Request("POST", "/draft/1", "r1", "x"),
+                          [&](std::string_view) {
+                            if (std::exchange(first, false)) {
+                              begun.set_value();
+                            }
+                            return true;
+                          });
+  });
+  begun.get_future().wait();
+  gateway.process->Signal(SIGHUP);
+  gateway.process->Signal(SIGTERM);
+  EXPECT_TRUE(stream.get().whole);
+  EXPECT_EQ(gateway.process->WaitForExit(milliseconds(8000)), 0);
+  const std::string log = Log("g1");
+  EXPECT_NE(log.find("The settings are reread."), std::string::npos);
+  EXPECT_NE(log.find("The gateway has stopped."), std::string::npos);
+}
+
+// Guards against items that are lost, listed twice or listed with half a text.
+TEST_F(platform_fixture, Rule01_BatchJobIsRunAndListedOnce) {
+  const host gateway = StartGateway("g1");
+  const host other = StartGateway("g2");
+  Start("worker", "w1");
+  const auto accepted = client_.Call(
+      gateway.front, Request("POST", "/lots/j1", "j1", Submission(6, "i")));
+  ASSERT_EQ(accepted.status, 202) << accepted.body;
+  EXPECT_EQ(client_
+                .Call(other.front,
+                      Request("POST", "/lots/j1", "j1", Submission(6, "i")))
+                .status,
+            202);
+  ASSERT_TRUE(AllListed(other, "j1", 6)) << Log("w1");
+  const auto results = Results(gateway, "j1");
+  EXPECT_EQ(results, Results(other, "j1"));
+  std::set<std::string> listed;
+  for (const auto& value : results.at("results").as_array()) {
+    const auto& entry = value.as_object();
+    const std::string id(entry.at("id").as_string());
+    EXPECT_TRUE(listed.insert(id).second);
+    const bool impossible = id == "i-0";
+    EXPECT_EQ(entry.at("state").as_string(),
+              impossible ? "dead_letter" : "completed");
+    EXPECT_EQ(std::string(entry.at("text").as_string()),
+              impossible ? "" : WholeText());
+  }
+  EXPECT_EQ(
+      client_.Call(gateway.front, Request("GET", "/v1/items/j1?id=i-3", "b"))
+          .body,
+      "do it");
+  EXPECT_EQ(
+      client_.Call(gateway.front, Request("GET", "/v1/lots/none", "b")).status,
+      404);
+}
+
+// Guards against a job that stays unfinished when the worker that owns it dies.
+TEST_F(platform_fixture, Rule01_JobOfADeadWorkerIsTakenOver) {
+  const host gateway = StartGateway("g1");
+  std::map<std::string, host> workers;
+  for (const std::string name : {"w1", "w2"}) {
+    workers[name] = Start("worker", name);
+  }
+  std::this_thread::sleep_for(milliseconds(1000));
+  ASSERT_EQ(client_
+                .Call(gateway.front,
+                      Request("POST", "/lots/j1", "j1", Submission(20, "i")))
+                .status,
+            202);
+  std::string owner;
+  ASSERT_TRUE(Eventually([&] {
+    const auto spec = store_->Spec("batch-job", "j1");
+    if (!spec.is_string()) {
+      return false;
+    }
+    owner = boost::json::parse(spec.as_string()).at("owner").as_string();
+    return workers.contains(owner);
+  }));
+  workers[owner].process->Kill();
+  EXPECT_TRUE(AllListed(gateway, "j1", 20)) << Log(owner == "w1" ? "w2" : "w1");
+}
+
+// Guards against an accepted job that is lost, or a refused one that runs, when
+// the store is away or loses its answers.
+TEST_F(platform_fixture, Rule09_StoreFaultsNeverMakeAnswersUntrue) {
+  const host gateway = StartGateway("g1");
+  Start("worker", "w1");
+  std::this_thread::sleep_for(milliseconds(500));
+  store_->SetCondition(standins::platform_store::condition::refusing);
+  const auto refused = client_.Call(
+      gateway.front, Request("POST", "/lots/j1", "j1", Submission(2, "a")));
+  EXPECT_EQ(refused.status, 503);
+  store_->SetCondition(standins::platform_store::condition::losing);
+  const auto accepted = client_.Call(
+      gateway.front, Request("POST", "/lots/j2", "j2", Submission(2, "b")));
+  store_->SetCondition(standins::platform_store::condition::serving);
+  if (accepted.status == 202) {
+    EXPECT_TRUE(AllListed(gateway, "j2", 2)) << Log("w1");
+  } else if (accepted.status == 503) {
+    EXPECT_TRUE(store_->Spec("batch-job", "j2").is_null());
+  } else {
+    // Nothing was promised; sending it again must settle it.
+    EXPECT_EQ(client_
+                  .Call(gateway.front,
+                        Request("POST", "/lots/j2", "j2", Submission(2, "b")))
+                  .status,
+              202);
+    EXPECT_TRUE(AllListed(gateway, "j2", 2)) << Log("w1");
+  }
+  EXPECT_TRUE(store_->Spec("batch-job", "j1").is_null());
+}
+
+// Guards against a job that runs on after its end was acknowledged.
+TEST_F(platform_fixture, Rule02_EndedJobStops) {
+  const host gateway = StartGateway("g1");
+  Start("worker", "w1");
+  ASSERT_EQ(client_
+                .Call(gateway.front,
+                      Request("POST", "/lots/j1", "j1", Submission(100, "i")))
+                .status,
+            202);
+  const auto running = [&] {
+    return engines_[0]->running() + engines_[1]->running();
+  };
+  ASSERT_TRUE(Eventually([&] { return running() > 0; })) << Log("w1");
+  EXPECT_EQ(
+      client_.Call(gateway.front, Request("DELETE", "/v1/lots/j1", "d")).status,
+      200);
+  EXPECT_TRUE(Eventually([&] { return running() == 0; }, milliseconds(3000)));
+  std::this_thread::sleep_for(milliseconds(300));
+  EXPECT_EQ(running(), 0);
+}
+
+// Guards against a host that is removed while it still holds jobs.
+TEST_F(platform_fixture, EvacuatedWorkerHandsItsJobsOver) {
+  const host gateway = StartGateway("g1");
+  Start("worker", "w1");
+  Start("worker", "w2");
+  std::this_thread::sleep_for(milliseconds(1000));
+  for (int job = 0; job < 4; ++job) {
+    const std::string id = "j" + std::to_string(job);
+    ASSERT_EQ(client_
+                  .Call(gateway.front,
+                        Request("POST", "/lots/" + id, id, Submission(10, id)))
+                  .status,
+              202);
+  }
+  store_->Put("retirements", "w1", boost::json::object{{"period-s", 10}});
+  EXPECT_TRUE(Eventually([&] {
+    const auto status = store_->Status("retirements", "w1");
+    return status.is_object() &&
+           status.as_object().at("state").as_string() == "completed";
+  })) << Log("w1");
+  processes_[1]->Kill();
+  for (int job = 0; job < 4; ++job) {
+    EXPECT_TRUE(AllListed(gateway, "j" + std::to_string(job), 10)) << Log("w2");
+  }
+}
+
+// Guards against settings that are only found wrong when traffic runs.
+TEST_F(platform_fixture, CheckNamesTheFieldThatIsWrong) {
+  const std::string file = (folder_ / "bad.json").string();
+  std::ofstream(file) << R"({"node-name": "n1"})";
+  harness::child_command command;
+  command.program = "cardamomyard";
+  command.arguments = {"gateway", "--settings", file, "--check"};
+  command.log_file = (folder_ / "check.log").string();
+  auto process = std::move(*child_process::Start(command));
+  EXPECT_EQ(process->WaitForExit(milliseconds(5000)), 1);
+  EXPECT_NE(Log("check").find("zone"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace cardamomyard
