--- /dev/null
+++ b/packages/telemetry/test/log_test.cc
@@ -0,0 +1,75 @@
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <thread>
+
+#include "cardamomyard/telemetry.h"
+
+namespace cardamomyard {
+namespace {
+
+constexpr int kLines = 20'000;
+// Far less than writing the lines to a reader that does not read would take.
+constexpr std::chrono::seconds kLimit{3};
+
+/// Sends standard output into a pipe for the lifetime of the object.
+class captured_output {
+ public:
+  captured_output() {
+    std::fflush(stdout);
+    saved_ = ::dup(STDOUT_FILENO);
+    EXPECT_EQ(::pipe(ends_), 0);
+    ::dup2(ends_[1], STDOUT_FILENO);
+  }
+  /// Reads until \p text has come. \returns all that was read.
+  std::string ReadUntil(const std::string& text) {
+    std::string read;
+    char buffer[4096];
+    while (read.find(text) == std::string::npos) {
+      const auto got = ::read(ends_[0], buffer, sizeof(buffer));
+      if (got <= 0) {
+        break;
+      }
+      read.append(buffer, static_cast<std::size_t>(got));
+    }
+    return read;
+  }
+  ~captured_output() {
+    std::fflush(stdout);
+    ::dup2(saved_, STDOUT_FILENO);
+    ::close(saved_);
+    ::close(ends_[0]);
+    ::close(ends_[1]);
+  }
+
+ private:
+  int saved_ = -1;
+  int ends_[2] = {-1, -1};
+};
+
+// Guards against a process that stands still because nobody reads its logs, and
+// against logs without bound: the pipe holds 64 KiB and is not read until all
+// lines are written.
+TEST(Log, NeverBlocksAndIsBoundedWhenNobodyReads) {
+  ConfigureLogs(log_level::info, log_format::json);
+  constexpr part_log kLog("test");
+  captured_output output;
+  const auto began = std::chrono::steady_clock::now();
+  for (int i = 0; i < kLines; ++i) {
+    kLog.Info("A line.", {{"number", i}, {"text", std::string(200, 'x')}});
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - began, kLimit);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  kLog.Error("The last line.");
+  const std::string read = output.ReadUntil("The last line.");
+  EXPECT_NE(read.find("Lines were dropped"), std::string::npos);
+  // 500 lines a second for at most four seconds, of about 300 bytes each.
+  EXPECT_LT(read.size(), 4 * 500 * 400U);
+  FlushLogs(std::chrono::milliseconds(500));
+}
+
+}  // namespace
+}  // namespace cardamomyard
