Share watch calls between changes in quick succession; mend lint findings

Ruled out: longer waits alone, since most calls end with an event. Conclusion: a pause of 120 ms after events, 250 ms for jobs, 500 ms for hosts.

--- a/packages/fleet/src/fleet/backend_directory.cc
+++ b/packages/fleet/src/fleet/backend_directory.cc
@@ -38,7 +38,7 @@
   for (auto& [id, held] : entries_) {
     const bool listed =
         std::any_of(entries.begin(), entries.end(),
-                    [&id](const backend_entry& e) { return e.id == id; });
+                    [&id = id](const backend_entry& e) { return e.id == id; });
     if (!listed) {
       Lapse(held, now);
     }
--- a/packages/fleet/test/online_placement_test.cc
+++ b/packages/fleet/test/online_placement_test.cc
@@ -48,6 +48,7 @@
   std::vector<online_placement> placements;
   std::vector<backend_pool> pools(kHosts);
   std::vector<usable_backend> servers;
+  servers.reserve(kServers);
   for (int i = 0; i < kServers; ++i) {
     servers.push_back(Server("s" + std::to_string(i), "z", kSlots));
   }
@@ -57,6 +58,7 @@
     pools[host].SetBackends(servers);
   }
   std::vector<std::string> names;
+  names.reserve(kHosts);
   for (int host = 0; host < kHosts; ++host) {
     names.push_back("h" + std::to_string(host));
   }
@@ -88,6 +90,7 @@
       ends.pop();
     }
     std::vector<std::vector<backend_load>> loads;
+    loads.reserve(pools.size());
     for (const backend_pool& pool : pools) {
       loads.push_back(pool.OwnLoads());
     }
--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -43,7 +43,8 @@
               self->jobs_->OnDigest(digest);
             },
             [](const std::string&) {},
-            [self = made.get()](std::shared_ptr<const service_map> next) {
+            [self =
+                 made.get()](const std::shared_ptr<const service_map>& next) {
               self->Configure(*next);
             },
             [](http_exchange& exchange) -> asio::awaitable<void> {
--- a/packages/gateway/src/gateway/gossip.cc
+++ b/packages/gateway/src/gateway/gossip.cc
@@ -25,7 +25,7 @@
 }  // namespace
 
 result<std::unique_ptr<gossip>> gossip::Create(asio::io_context& context,
-                                               host_address listen,
+                                               const host_address& listen,
                                                std::vector<host_address> seeds,
                                                peer_table& peers,
                                                const clock& time,
--- a/packages/gateway/src/gateway/gossip.h
+++ b/packages/gateway/src/gateway/gossip.h
@@ -35,7 +35,7 @@
   /// Binds the address.
   static result<std::unique_ptr<gossip>> Create(
       boost::asio::io_context& context,
-      host_address listen,
+      const host_address& listen,
       std::vector<host_address> seeds,
       peer_table& peers,
       const clock& time,
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -25,6 +25,8 @@
 // Lapsed servers are dropped from the pool this often.
 constexpr std::chrono::milliseconds kRefreshPeriod{200};
 constexpr std::size_t kMaxStoreCallBytes = 8U << 20U;
+// Hosts also hear of each other by digests.
+constexpr std::chrono::milliseconds kHostWatchPause{500};
 constexpr std::chrono::milliseconds kFirstRetry{100};
 constexpr std::chrono::milliseconds kMostRetry{2000};
 
@@ -203,6 +205,7 @@
   events.on_contact = [](bool) {};
   host_follower_ = std::make_unique<object_follower>(*store_, clock_, kHostKind,
                                                      std::move(events));
+  host_follower_->SetPause(kHostWatchPause);
   asio::co_spawn(control(), host_follower_->Run(), kEndOnException);
 }
 
--- a/packages/gateway/src/gateway/job_frontend.cc
+++ b/packages/gateway/src/gateway/job_frontend.cc
@@ -130,7 +130,7 @@
         co_await host_->jobs().Accept(record, *input, began + kStoreDeadline);
     if (!stored) {
       recent_.erase(record.id);
-      const error cause = stored.error();
+      const error& cause = stored.error();
       co_return Refuse(cause.ran() == outcome::not_run
                            ? cause
                            : error::Make(error_kind::timeout, cause.message()),
--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -547,6 +547,7 @@
     sums[{record.account, record.route}] += tokens;
   }
   std::vector<batch_backlog> backlogs;
+  backlogs.reserve(sums.size());
   for (const auto& [name, tokens] : sums) {
     backlogs.push_back({name.first, name.second, tokens});
   }
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -22,6 +22,8 @@
 // The end of a job must reach its owner within about three seconds also when
 // a watch lost its events.
 constexpr std::chrono::milliseconds kJobWatchWait{1500};
+// Each worker sees the changes of all jobs; those of this time share a call.
+constexpr std::chrono::milliseconds kJobWatchPause{250};
 constexpr std::chrono::milliseconds kTakeoverPeriod{700};
 // A job without an owner is taken by the worker that ranks first for it.
 constexpr std::chrono::milliseconds kCollectPeriod{10'000};
@@ -48,7 +50,7 @@
             },
             [self](const load_digest&) { self->runner_->Schedule(); },
             [](const std::string&) {},
-            [](std::shared_ptr<const service_map>) {},
+            [](const std::shared_ptr<const service_map>&) {},
             [self](http_exchange& exchange) {
               return self->AnswerPage(exchange);
             }});
@@ -76,6 +78,7 @@
              }
            });
     job_follower_->SetWait(kJobWatchWait);
+    job_follower_->SetPause(kJobWatchPause);
     asio::co_spawn(host_->traffic(), KeepLease(), kEndOnException);
     asio::co_spawn(host_->traffic(), Tick(), kEndOnException);
     asio::co_spawn(host_->traffic(), TakeOver(), kEndOnException);
--- a/packages/jobs/src/jobs/item_queue.cc
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -17,7 +17,7 @@
 
 void item_queue::Add(open_item item) {
   key name{item.job, item.item};
-  items_.try_emplace(std::move(name), std::move(item));
+  items_.emplace(std::move(name), std::move(item));
 }
 
 void item_queue::RemoveJob(const std::string& job) {
--- a/packages/jobs/test/job_store_test.cc
+++ b/packages/jobs/test/job_store_test.cc
@@ -157,9 +157,9 @@
     const auto current = *Await(jobs.ReadResults("j"));
     std::vector<job_item_result> now;
     while (static_cast<std::int64_t>(now.size()) < current.results.count()) {
-      const auto page =
-          Await(jobs.ReadFrom("j", current.results,
-                            static_cast<std::int64_t>(now.size()), 1U << 20U));
+      const auto page = Await(
+          jobs.ReadFrom("j", current.results,
+                        static_cast<std::int64_t>(now.size()), 1U << 20U));
       RC_ASSERT(page.has_value());
       RC_ASSERT(!page->empty());
       now.insert(now.end(), page->begin(), page->end());
--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -180,7 +180,7 @@
             std::shared_ptr<connection_pool> pool,
             connection_pool::key where)
       : parser_(std::move(parser)),
-        options_(options),
+        options_(std::move(options)),
         pool_(std::move(pool)),
         where_(std::move(where)) {
     for (const auto& field : parser_->get()) {
--- a/packages/net/test/http_test.cc
+++ b/packages/net/test/http_test.cc
@@ -38,7 +38,8 @@
   }
 
   result<http_response> Fetch(http_request request, call_options options = {}) {
-    return Run(client_->Fetch(server_->address(), std::move(request), options));
+    return Run(client_->Fetch(server_->address(), std::move(request),
+                              std::move(options)));
   }
 
   thread_pool threads_{2};
--- a/packages/node/src/node/answer_relay.cc
+++ b/packages/node/src/node/answer_relay.cc
@@ -5,7 +5,7 @@
 #include <memory>
 #include <utility>
 
-#include "src/telemetry/end_on_exception.h"
+#include "cardamomyard/telemetry.h"
 #include "src/node/internal_api.h"
 #include "src/node/sse_scanner.h"
 
--- a/packages/node/src/node/entry/admin_fleet.cc
+++ b/packages/node/src/node/entry/admin_fleet.cc
@@ -4,8 +4,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "cardamomyard/telemetry.h"
 #include "src/node/control_client.h"
-#include "src/telemetry/end_on_exception.h"
 #include "src/node/entry/admin_call.h"
 #include "src/node/entry/admin_json.h"
 #include "src/node/internal_api.h"
--- a/packages/node/src/node/entry/batches_api.cc
+++ b/packages/node/src/node/entry/batches_api.cc
@@ -5,8 +5,8 @@
 #include <charconv>
 #include <utility>
 
+#include "cardamomyard/telemetry.h"
 #include "src/node/batch_keys.h"
-#include "src/telemetry/end_on_exception.h"
 #include "src/node/entry/batch_format.h"
 #include "src/node/entry/caller_server.h"
 #include "src/node/entry/item_target.h"
--- a/packages/node/src/node/entry/entry.cc
+++ b/packages/node/src/node/entry/entry.cc
@@ -7,8 +7,8 @@
 #include <thread>
 #include <utility>
 
+#include "cardamomyard/telemetry.h"
 #include "src/node/control_client.h"
-#include "src/telemetry/end_on_exception.h"
 #include "src/node/entry/batch_reader.h"
 #include "src/node/internal_api.h"
 #include "src/node/port_file.h"
--- a/packages/node/src/node/entry/idempotency.cc
+++ b/packages/node/src/node/entry/idempotency.cc
@@ -3,7 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <utility>
 
-#include "src/telemetry/end_on_exception.h"
+#include "cardamomyard/telemetry.h"
 #include "src/node/internal_api.h"
 #include "src/node/stored_record.h"
 
--- a/packages/node/src/node/entry/peer_exchange.cc
+++ b/packages/node/src/node/entry/peer_exchange.cc
@@ -5,8 +5,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "cardamomyard/telemetry.h"
 #include "src/node/control_client.h"
-#include "src/telemetry/end_on_exception.h"
 #include "src/node/internal_api.h"
 #include "src/node/suspect_codec.h"
 
--- a/packages/node/src/node/entry/peer_exchange_contact.cc
+++ b/packages/node/src/node/entry/peer_exchange_contact.cc
@@ -4,7 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <utility>
 
-#include "src/telemetry/end_on_exception.h"
+#include "cardamomyard/telemetry.h"
 #include "src/node/entry/peer_exchange.h"
 
 namespace cardamomyard {
--- a/packages/node/src/node/sidecar/group_session.cc
+++ b/packages/node/src/node/sidecar/group_session.cc
@@ -6,8 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "cardamomyard/telemetry.h"
 #include "src/node/batch_keys.h"
-#include "src/telemetry/end_on_exception.h"
 #include "src/node/job_updates.h"
 #include "src/node/stored_record.h"
 
--- a/packages/node/src/node/sidecar/heartbeat_sender.cc
+++ b/packages/node/src/node/sidecar/heartbeat_sender.cc
@@ -8,8 +8,8 @@
 #include <memory>
 #include <utility>
 
+#include "cardamomyard/telemetry.h"
 #include "src/node/control_client.h"
-#include "src/telemetry/end_on_exception.h"
 #include "src/node/internal_api.h"
 
 namespace cardamomyard {
--- a/packages/node/src/node/sidecar/sidecar.cc
+++ b/packages/node/src/node/sidecar/sidecar.cc
@@ -6,7 +6,7 @@
 #include <thread>
 #include <utility>
 
-#include "src/telemetry/end_on_exception.h"
+#include "cardamomyard/telemetry.h"
 #include "src/node/host_list_client.h"
 #include "src/node/port_file.h"
 #include "src/node/process_status.h"
--- a/packages/store/src/store/object_follower.cc
+++ b/packages/store/src/store/object_follower.cc
@@ -9,6 +9,8 @@
 
 // Each expiry of a waiting watch costs a call and shows that the store lives.
 constexpr std::chrono::milliseconds kUsualWait{8000};
+// Small beside the two seconds in which a change must be in force.
+constexpr std::chrono::milliseconds kUsualPause{120};
 constexpr std::chrono::milliseconds kFirstRetry{60};
 // A host is current again this long, and one call, after an outage.
 constexpr std::chrono::milliseconds kMostRetry{700};
@@ -23,7 +25,8 @@
       clock_(&time),
       kind_(std::move(kind)),
       events_(std::move(events)),
-      wait_(kUsualWait) {}
+      wait_(kUsualWait),
+      pause_(kUsualPause) {}
 
 boost::asio::awaitable<void> object_follower::Run() {
   backoff delay(kFirstRetry, kMostRetry,
@@ -71,6 +74,9 @@
     events_.on_change(change, seen->revision);
   }
   revision_ = std::max(revision_, seen->revision);
+  if (!seen->changes.empty()) {
+    co_await SleepFor(pause_.load());
+  }
   co_return true;
 }
 
--- a/packages/store/src/store/object_follower.h
+++ b/packages/store/src/store/object_follower.h
@@ -36,6 +36,10 @@
   /// costs more calls. Safe from any thread.
   void SetWait(std::chrono::milliseconds wait) { wait_ = wait; }
 
+  /// Sets how long the follower waits after events before it watches on, so
+  /// that changes in quick succession share a call. Safe from any thread.
+  void SetPause(std::chrono::milliseconds pause) { pause_ = pause; }
+
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run();
 
@@ -55,6 +59,7 @@
   follower_events events_;
   part_log log_{"store"};
   std::atomic<std::chrono::milliseconds> wait_;
+  std::atomic<std::chrono::milliseconds> pause_;
   bool listed_ = false;
   std::uint64_t revision_ = 0;
   std::optional<time_point> last_answer_;
