Wait a moment for the outcome of a call that was answered but not stored

Cause: an entry host answers the caller of an idempotent call and stores the answer after that. A resend at another host within those milliseconds found the claim without an outcome and was refused with unknown_outcome. Ruled out: storing before answering, which would hold every answer back for two store calls and lose a ready answer when the store is away. Before: IdempotencyTest.Rule10_ResendBeforeTheAnswerIsStoredIsReplayed (a store that takes 150 ms a call) gets 409; after: 200 with the stored answer. The claim is read again after growing delays for one second; a call that runs longer is still refused.

--- a/packages/batch/src/batch/idempotency.cc
+++ b/packages/batch/src/batch/idempotency.cc
@@ -116,6 +116,7 @@
     case idempotency_state::answered:
       return record->answer;
     case idempotency_state::claimed:
+      return request_running{};
     case idempotency_state::answer_too_large:
       break;
   }
--- a/packages/batch/src/batch/idempotency.h
+++ b/packages/batch/src/batch/idempotency.h
@@ -46,11 +46,16 @@
                         std::string_view target,
                         std::string_view body);
 
-struct run_request {};           ///< Claim, then run.
-struct request_conflict {};      ///< The key came with another request.
+struct run_request {};       ///< Claim, then run.
+struct request_conflict {};  ///< The key came with another request.
+/// Claimed, but its outcome is not stored yet; it may be soon.
+struct request_running {};
 struct request_outcome_lost {};  ///< Answer with `unknown_outcome`.
-using replay_decision = std::
-    variant<run_request, stored_answer, request_outcome_lost, request_conflict>;
+using replay_decision = std::variant<run_request,
+                                     stored_answer,
+                                     request_running,
+                                     request_outcome_lost,
+                                     request_conflict>;
 
 /// \brief Decides what to do with a request whose key was looked up.
 replay_decision Replay(const std::optional<idempotency_record>& record,
--- a/packages/node/src/node/entry/idempotency.cc
+++ b/packages/node/src/node/entry/idempotency.cc
@@ -16,6 +16,11 @@
 constexpr std::size_t kMaxKeyBytes = 256;
 // Each resend of the same request may change the record once in between.
 constexpr int kMaxClaimTries = 4;
+// The answer of a run is stored after it was sent, so a resend can come between
+// the two. A second leaves room for a read and a write in a slow store.
+constexpr std::chrono::milliseconds kOutcomeWait{1000};
+constexpr std::chrono::milliseconds kFirstOutcomeRead{50};
+constexpr std::chrono::milliseconds kMostOutcomeRead{200};
 constexpr std::chrono::milliseconds kRetryInterval{1000};
 constexpr std::chrono::hours kRetryFor{1};
 
@@ -82,7 +87,10 @@
                          std::string object) {
   const std::string hash =
       RequestHash(request.method, request.target, request.body);
-  for (int tries = 1;; ++tries) {
+  const time_point outcome_due = context_->time().Now() + kOutcomeWait;
+  backoff delay(kFirstOutcomeRead, kMostOutcomeRead, Hash64(object));
+  int tries = 0;
+  while (true) {
     auto read =
         co_await ReadStored<idempotency_record>(context_->store(), object);
     if (!read) {
@@ -97,6 +105,11 @@
       co_await SendStored(exchange, std::move(*answer), request.request_id);
       co_return std::nullopt;
     }
+    if (std::holds_alternative<request_running>(decision) &&
+        context_->time().Now() < outcome_due) {
+      co_await SleepFor(delay.Next());
+      continue;
+    }
     auto record =
         ClaimIdempotent(before, hash, context_->settings().id,
                         context_->time().WallNow(), RandomHex(kNonceBytes));
@@ -118,7 +131,7 @@
                      RetryUpdate(object, std::move(release)), kEndOnException);
     }
     const bool lost_race = written.error().kind() == error_kind::conflict;
-    if (!lost_race || tries == kMaxClaimTries) {
+    if (!lost_race || ++tries == kMaxClaimTries) {
       co_return Fail(written.error().WithOutcome(outcome::not_run));
     }
   }
--- a/test/idempotency_test.cc
+++ b/test/idempotency_test.cc
@@ -46,6 +46,19 @@
   EXPECT_EQ(ServiceCalls("o"), 1);
 }
 
+// Guards against a refusal of a resend that comes after the answer was sent and
+// before it is stored.
+TEST_F(IdempotencyTest, Rule10_ResendBeforeTheAnswerIsStoredIsReplayed) {
+  Start({.groups = {Services(1)}});
+  fleet_->Control(fleet_->store(), R"({"delay_ms":150})");
+  const http_response first = Order("o", 0);
+  EXPECT_EQ(first.status, 200) << first.body;
+  const http_response again = Order("o", 1);
+  EXPECT_EQ(again.status, 200) << again.body;
+  EXPECT_EQ(again.body, first.body);
+  EXPECT_EQ(ServiceCalls("o"), 1);
+}
+
 TEST_F(IdempotencyTest, Rule10_CallSentTwiceAtOnceRunsOnce) {
   Start({.groups = {Services(2, {"--delay-ms", "300"})}});
   auto first = std::async(std::launch::async, [this] { return Order("o", 0); });
