Replace guessed waits in tests by conditions; share the platform fixture

Cause: tests of net, telemetry and the platform path slept 50 to 1100 ms and assumed that something had happened by then. They now wait for the event itself: a poll that has nothing more to do, a promise, a log line, a later job. The processes of the platform fixture move to the harness, where the measuring program uses them too.

--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -237,11 +237,7 @@
 asio::awaitable<void> host_runtime::CatchUpFromPeers() {
   std::size_t turn = 0;
   while (true) {
-    const time_point slept = clock_.Now();
     co_await SleepFor(kCatchUpPeriod);
-    lag_ = (lag_ * 3 + std::chrono::duration_cast<std::chrono::milliseconds>(
-                           clock_.Now() - slept - kCatchUpPeriod)) /
-           4;
     const auto own_configuration = static_cast<std::int64_t>(
         stock().configuration() ? stock().configuration()->revision() : 0);
     const auto own_backends =
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -80,9 +80,6 @@
   /// A request or item began or ended at a server.
   void Began(const std::string& backend, work_class work);
   void Ended(const std::string& backend, work_class work);
-  /// \returns the smoothed delay with which the traffic thread runs its timers,
-  /// a sign of overload.
-  std::chrono::milliseconds lag() const { return lag_; }
 
  private:
   host_runtime(host_settings settings,
@@ -120,7 +117,7 @@
   std::unique_ptr<object_follower> host_follower_;
   std::unique_ptr<http_server> internal_server_;
   bool draining_ = false;
-  std::chrono::milliseconds lag_{0};
+
   thread_pool traffic_{1};
   thread_pool control_{1};
 };
--- a/packages/gateway/src/gateway/job_frontend.h
+++ b/packages/gateway/src/gateway/job_frontend.h
@@ -35,7 +35,7 @@
   boost::asio::awaitable<http_response> Call(const inbound_request& caller,
                                              const job_call& call,
                                              const std::string& account);
-  /// Forgets a peer's backlog when it is gone for good.
+  /// Takes the tokens that wait at a worker from its digest.
   void OnDigest(const load_digest& digest);
 
  private:
--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -375,7 +375,7 @@
        {"item", run->item},
        {"backend", run->backend.id},
        {"status", ended.status},
-       {"ending", static_cast<int>(ended.ending)},
+       {"ending", Name(ended.ending)},
        {"from_event", first_event},
        {"last_event", ended.last_event},
        {"stopped", run->stopped ? "yes" : "no"},
--- a/packages/gateway/src/gateway/protocol.h
+++ b/packages/gateway/src/gateway/protocol.h
@@ -60,7 +60,6 @@
   bool executed = true;
   /// The address belongs to another server now.
   bool misdirected = false;
-  bool leaving = false;  ///< The server is about to stop.
 };
 
 /// \brief Translates between the platform's messages and the system's types.
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -245,7 +245,7 @@
     }
     co_return co_await AfterBreak(request, backend, cause);
   }
-  request.offered = true;
+
   const next_step next = co_await TakeAnswer(request, backend, **call);
   if (next == next_step::finished && request.status == 200) {
     placement_.ObserveHold(request.service,
--- a/packages/gateway/src/gateway/request_state.h
+++ b/packages/gateway/src/gateway/request_state.h
@@ -36,7 +36,6 @@
   bool second_round = false;  ///< All were tried once and are tried again.
   int sent = 0;               ///< Servers that it was sent to.
   bool may_have_run = false;
-  bool offered = false;
 
   /// The caller has left; everything that works for the request must stop.
   bool caller_left = false;
--- a/packages/gateway/test/store_faults_test.cc
+++ b/packages/gateway/test/store_faults_test.cc
@@ -1,12 +1,10 @@
 #include <gtest/gtest.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/use_future.hpp>
 #include <memory>
 #include <string>
 
-#include "../../jobs/test/memory_store.h"
+#include "memory/await.h"
+#include "memory/memory_store.h"
 #include "src/gateway/internal_paths.h"
 #include "src/gateway/inventory.h"
 #include "src/gateway/relayed_store.h"
@@ -17,14 +15,8 @@
 
 using std::chrono::milliseconds;
 
-template <class T>
-T Await(boost::asio::awaitable<T> work) {
-  boost::asio::io_context context;
-  auto done =
-      boost::asio::co_spawn(context, std::move(work), boost::asio::use_future);
-  context.run();
-  return done.get();
-}
+using standins::Await;
+using standins::memory_store;
 
 // Guards against two owners of one job: the holder's lease must end before
 // anyone may take its jobs, also when the holder was suspended.
--- a/packages/jobs/include/cardamomyard/jobs.h
+++ b/packages/jobs/include/cardamomyard/jobs.h
@@ -5,7 +5,6 @@
 /// Public header of the package jobs: batch jobs kept in the platform's store,
 /// who owns them, and which of their items runs next.
 
-#include "src/jobs/event_reader.h"
 #include "src/jobs/fleet_job.h"
 #include "src/jobs/item_queue.h"
 #include "src/jobs/job_store.h"
--- a/packages/jobs/src/jobs/item_queue.cc
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -15,6 +15,22 @@
 
 }  // namespace
 
+std::string_view Name(item_ending ending) {
+  switch (ending) {
+    case item_ending::completed:
+      return "completed";
+    case item_ending::failed:
+      return "failed";
+    case item_ending::impossible:
+      return "impossible";
+    case item_ending::cut:
+      return "cut";
+    case item_ending::refused:
+      return "refused";
+  }
+  return "unknown";
+}
+
 void item_queue::Add(open_item item) {
   key name{item.job, item.item};
   items_.emplace(std::move(name), std::move(item));
--- a/packages/jobs/src/jobs/item_queue.h
+++ b/packages/jobs/src/jobs/item_queue.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cardamomyard/base.h"
@@ -31,6 +32,9 @@
   refused,     ///< It has not run.
 };
 
+/// \returns the name of \p ending in logs.
+std::string_view Name(item_ending ending);
+
 /// \brief Where an item of an open job stands.
 struct open_item {
   std::string job;
--- a/packages/jobs/test/item_queue_test.cc
+++ b/packages/jobs/test/item_queue_test.cc
@@ -73,25 +73,5 @@
             std::optional<bool>(false));
 }
 
-// Guards against text that holds half an event or one event twice.
-TEST(EventReader, KeepsHalfEventsBack) {
-  event_reader reader;
-  EXPECT_TRUE(reader.Feed("id: 1\ndata: on").empty());
-  const auto events = reader.Feed("e\n\nid: 2\ndata: two\ndata: more\n\nid: 3");
-  ASSERT_EQ(events.size(), 2U);
-  EXPECT_EQ(events[0], (stream_event{1, "one", "id: 1\ndata: one\n\n"}));
-  EXPECT_EQ(events[1].data, "two\nmore");
-  EXPECT_FALSE(reader.at_boundary());
-}
-
-TEST(EventReader, AcceptsCarriageReturns) {
-  event_reader reader;
-  const auto events = reader.Feed("id: 7\r\ndata: x\r\n\r\n");
-  ASSERT_EQ(events.size(), 1U);
-  EXPECT_EQ(events[0].id, 7);
-  EXPECT_EQ(events[0].data, "x");
-  EXPECT_TRUE(reader.at_boundary());
-}
-
 }  // namespace
 }  // namespace cardamomyard
--- a/packages/jobs/test/job_store_test.cc
+++ b/packages/jobs/test/job_store_test.cc
@@ -1,29 +1,21 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/use_future.hpp>
 #include <random>
 #include <set>
 #include <string>
 
 #include "cardamomyard/jobs.h"
-#include "test/memory_store.h"
+#include "memory/await.h"
+#include "memory/memory_store.h"
 
 namespace cardamomyard {
 namespace {
 
 using std::chrono::milliseconds;
 
-template <class T>
-T Await(boost::asio::awaitable<T> work) {
-  boost::asio::io_context context;
-  auto done =
-      boost::asio::co_spawn(context, std::move(work), boost::asio::use_future);
-  context.run();
-  return done.get();
-}
+using standins::Await;
+using standins::memory_store;
 
 job_input Input(int items, std::size_t body_bytes = 20) {
   job_input input;
--- a/packages/net/include/cardamomyard/net.h
+++ b/packages/net/include/cardamomyard/net.h
@@ -6,6 +6,7 @@
 /// error bodies and traffic threads. Beast and JSON headers stay inside.
 
 #include "src/net/error_body.h"
+#include "src/net/event_reader.h"
 #include "src/net/host_address.h"
 #include "src/net/http_client.h"
 #include "src/net/http_message.h"
--- a/packages/jobs/src/jobs/event_reader.cc
+++ b/packages/net/src/net/event_reader.cc
@@ -1,4 +1,4 @@
-#include "src/jobs/event_reader.h"
+#include "src/net/event_reader.h"
 
 #include <charconv>
 
@@ -62,6 +62,7 @@
   while (const std::size_t length = FirstEventLength(pending_)) {
     events.push_back(Parse(pending_.substr(0, length)));
     pending_.erase(0, length);
+    done_ = done_ || events.back().data == kStreamEnd;
   }
   return events;
 }
--- a/packages/jobs/src/jobs/event_reader.h
+++ b/packages/net/src/net/event_reader.h
@@ -1,5 +1,5 @@
-#ifndef CARDAMOMYARD_JOBS_EVENT_READER_H_
-#define CARDAMOMYARD_JOBS_EVENT_READER_H_
+#ifndef CARDAMOMYARD_NET_EVENT_READER_H_
+#define CARDAMOMYARD_NET_EVENT_READER_H_
 
 #include <cstdint>
 #include <optional>
@@ -9,6 +9,9 @@
 
 namespace cardamomyard {
 
+/// Data of the event that closes a chat or completion stream.
+inline constexpr std::string_view kStreamEnd = "[DONE]";
+
 /// \brief One whole event of a stream.
 struct stream_event {
   std::optional<std::int64_t> id;
@@ -27,13 +30,17 @@
   /// \returns the events that this piece completes.
   std::vector<stream_event> Feed(std::string_view bytes);
 
+  /// \returns whether the closing event of a chat stream was seen.
+  bool done() const { return done_; }
+
   /// \returns whether the stream stands between two events.
   bool at_boundary() const { return pending_.empty(); }
 
  private:
   std::string pending_;
+  bool done_ = false;
 };
 
 }  // namespace cardamomyard
 
-#endif  // CARDAMOMYARD_JOBS_EVENT_READER_H_
+#endif  // CARDAMOMYARD_NET_EVENT_READER_H_
--- a/packages/net/test/http_test.cc
+++ b/packages/net/test/http_test.cc
@@ -95,15 +95,22 @@
         context, client_->Fetch((*server)->address(), std::move(request), kept),
         asio::use_future);
   };
-  ASSERT_TRUE(fetch("/first", threads_.At(0)).get());
+  asio::io_context caller;
+  auto first = fetch("/first", caller);
+  caller.run();
+  ASSERT_TRUE(first.get());
   auto blocking = fetch("/block", threads_.At(1));
   blocked.get_future().wait();
-  // The kept connection is idle for the server, whose only thread is held.
-  auto crossing = fetch("/crossing", threads_.At(0));
-  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  // The kept connection is idle for the server, whose only thread is held. When
+  // the client has nothing more to do, its request lies in the server's socket.
+  auto crossing = fetch("/crossing", caller);
+  caller.restart();
+  caller.poll();
   (*server)->StartDraining();
   released.set_value();
   EXPECT_TRUE(blocking.get());
+  caller.run();
+
   const auto answer = crossing.get();
   ASSERT_TRUE(answer) << answer.error().message();
   EXPECT_EQ(answer->status, 200);
@@ -142,8 +149,10 @@
 
 // Guards against work that goes on after its caller has left.
 TEST_F(http_fixture, CallerThatLeavesIsNoticedAndItsCallCancelled) {
+  std::promise<void> begun;
   std::promise<bool> noticed;
-  Serve([&noticed](http_exchange& exchange) -> asio::awaitable<void> {
+  Serve([&](http_exchange& exchange) -> asio::awaitable<void> {
+    begun.set_value();
     auto left = std::make_shared<bool>(false);
     exchange.WatchPeer([left] { *left = true; });
     for (int i = 0; i < 200 && !*left; ++i) {
@@ -158,7 +167,7 @@
   auto call =
       asio::co_spawn(context, client_->Fetch(server_->address(), {}, options),
                      asio::use_future);
-  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  begun.get_future().wait();
   asio::post(context, [&options] { options.canceller->Cancel(); });
   EXPECT_FALSE(call.get());
   EXPECT_TRUE(noticed.get_future().get());
--- a/packages/node/src/node/answer_relay.cc
+++ b/packages/node/src/node/answer_relay.cc
@@ -7,7 +7,6 @@
 
 #include "cardamomyard/telemetry.h"
 #include "src/node/internal_api.h"
-#include "src/node/sse_scanner.h"
 
 namespace cardamomyard {
 namespace asio = boost::asio;
@@ -112,7 +111,7 @@
                                           const relay_options& options,
                                           check_state& state) {
   relay_report report;
-  sse_scanner scanner;
+  event_reader events;
   result<std::string> piece = co_await from.ReadSome();
   if (!piece && !state.failure) {
     report.failure = piece.error();
@@ -128,7 +127,7 @@
     if (state.failure) {
       break;
     }
-    scanner.Feed(*piece);
+    events.Feed(*piece);
     if (options.observe) {
       options.observe(*piece);
     }
@@ -146,7 +145,7 @@
     report.failure = state.failure;
   } else if (!piece) {
     report.failure = piece.error();
-  } else if (!scanner.done()) {
+  } else if (!events.done()) {
     report.failure = error::Make(error_kind::backend_failed,
                                  "the stream ended before [DONE]");
   }
--- a/packages/node/src/node/entry/usage_ledger.cc
+++ b/packages/node/src/node/entry/usage_ledger.cc
@@ -30,11 +30,12 @@
     return;
   }
   stream_ = true;
-  for (const std::string& event : scanner_.Feed(piece)) {
-    if (event.find("\"usage\"") == std::string::npos) {
+  for (const stream_event& event : events_.Feed(piece)) {
+    if (event.data.find("\"usage\"") == std::string::npos) {
       continue;
     }
-    if (const token_usage found = ReadUsage(event); found != token_usage()) {
+    if (const token_usage found = ReadUsage(event.data);
+        found != token_usage()) {
       tokens_ = found;
     }
   }
--- a/packages/node/src/node/entry/usage_ledger.h
+++ b/packages/node/src/node/entry/usage_ledger.h
@@ -15,7 +15,6 @@
 
 #include "cardamomyard/batch.h"
 #include "cardamomyard/store.h"
-#include "src/node/sse_scanner.h"
 
 namespace cardamomyard {
 
@@ -52,7 +51,7 @@
 
  private:
   bool stream_ = false;
-  sse_scanner scanner_;
+  event_reader events_;
   token_usage tokens_;
 };
 
--- a/packages/node/src/node/sidecar/item_runner.cc
+++ b/packages/node/src/node/sidecar/item_runner.cc
@@ -7,7 +7,6 @@
 
 #include "cardamomyard/telemetry.h"
 #include "src/node/internal_api.h"
-#include "src/node/sse_scanner.h"
 
 namespace cardamomyard {
 namespace asio = boost::asio;
@@ -155,7 +154,7 @@
 asio::awaitable<std::optional<error>> item_runner::ReadStream(
     std::shared_ptr<item_run> run,
     http_call& call) {
-  sse_scanner scanner;
+  event_reader events;
   while (true) {
     result<std::string> piece = co_await call.ReadSome();
     if (!piece) {
@@ -166,8 +165,8 @@
       co_return piece.error();
     }
     const bool named = !run->progress.stream_id().empty();
-    for (const std::string& event : scanner.Feed(*piece)) {
-      if (!run->progress.Feed(event)) {
+    for (const stream_event& event : events.Feed(*piece)) {
+      if (event.data != kStreamEnd && !run->progress.Feed(event.data)) {
         co_return error::Make(error_kind::backend_failed,
                               "the stream holds an event that is no answer");
       }
@@ -179,7 +178,7 @@
       asio::co_spawn(executor_, CancelOnEngine(run), kEndOnException);
     }
   }
-  if (!scanner.done()) {
+  if (!events.done()) {
     co_return error::Make(error_kind::backend_failed,
                           "the stream ended before [DONE]");
   }
--- a/packages/telemetry/test/log_test.cc
+++ b/packages/telemetry/test/log_test.cc
@@ -3,8 +3,9 @@
 
 #include <chrono>
 #include <cstdio>
+#include <future>
 #include <string>
-#include <thread>
+#include <utility>
 
 #include "cardamomyard/telemetry.h"
 
@@ -37,13 +38,20 @@
     }
     return read;
   }
-  ~captured_output() {
+  /// Gives standard output back, so that a reader meets the end of the pipe.
+  void Close() {
+    if (saved_ < 0) {
+      return;
+    }
     std::fflush(stdout);
     ::dup2(saved_, STDOUT_FILENO);
-    ::close(saved_);
-    ::close(ends_[0]);
+    ::close(std::exchange(saved_, -1));
     ::close(ends_[1]);
   }
+  ~captured_output() {
+    Close();
+    ::close(ends_[0]);
+  }
 
  private:
   int saved_ = -1;
@@ -62,10 +70,20 @@
     kLog.Info("A line.", {{"number", i}, {"text", std::string(200, 'x')}});
   }
   EXPECT_LT(std::chrono::steady_clock::now() - began, kLimit);
-  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
-  kLog.Error("The last line.");
-  const std::string read = output.ReadUntil("The last line.");
+  auto reader = std::async(std::launch::async, [&output] {
+    return output.ReadUntil("Lines were dropped");
+  });
+  // The drops are told with the first line of the next second.
+  const auto told_by = std::chrono::steady_clock::now() + kLimit;
+  while (reader.wait_for(std::chrono::milliseconds(10)) !=
+             std::future_status::ready &&
+         std::chrono::steady_clock::now() < told_by) {
+    kLog.Info("A later line.");
+  }
+  output.Close();
+  const std::string read = reader.get();
   EXPECT_NE(read.find("Lines were dropped"), std::string::npos);
+
   // 500 lines a second for at most four seconds, of about 300 bytes each.
   EXPECT_LT(read.size(), 4 * 500 * 400U);
   FlushLogs(std::chrono::milliseconds(500));
--- a/packages/jobs/test/memory_store.h
+++ b/standins/memory/memory_store.h
@@ -1,5 +1,5 @@
-#ifndef CARDAMOMYARD_JOBS_TEST_MEMORY_STORE_H_
-#define CARDAMOMYARD_JOBS_TEST_MEMORY_STORE_H_
+#ifndef CARDAMOMYARD_STANDINS_MEMORY_MEMORY_STORE_H_
+#define CARDAMOMYARD_STANDINS_MEMORY_MEMORY_STORE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -13,7 +13,7 @@
 #include "cardamomyard/net.h"
 #include "cardamomyard/store.h"
 
-namespace cardamomyard {
+namespace cardamomyard::standins {
 
 /// \brief A store in memory whose answers can be lost, refused or delayed.
 class memory_store final : public object_store {
@@ -185,6 +185,6 @@
   fault pending_ = fault::none;
 };
 
-}  // namespace cardamomyard
+}  // namespace cardamomyard::standins
 
-#endif  // CARDAMOMYARD_JOBS_TEST_MEMORY_STORE_H_
+#endif  // CARDAMOMYARD_STANDINS_MEMORY_MEMORY_STORE_H_
--- a/standins/platform/platform_engine.cc
+++ b/standins/platform/platform_engine.cc
@@ -83,13 +83,14 @@
   headers.Set("Response-Signature", "signed-by-" + id_);
   headers.Set("Content-Type", "text/event-stream");
   co_await exchange.StartStream(200, std::move(headers));
+  const int events = events_;
   const int first =
       std::atoi(request.headers.Get("Last-Event-Id").value_or("0").c_str()) + 1;
-  for (int number = first; number <= kEvents; ++number) {
+  for (int number = first; number <= events; ++number) {
     co_await SleepFor(kEventTime);
     const std::string event =
         "id: " + std::to_string(number) + "\ndata: " + Event(number) + "\n\n";
-    if (cut && number == kEvents / 2) {
+    if (cut && number == events / 2) {
       co_await exchange.Write(event.substr(0, event.size() / 2));
       --running_;
       exchange.Abort();
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -30,6 +30,9 @@
   /// The next \p count requests are refused as if the server were full.
   void RefuseNext(int count) { refusals_ = count; }
 
+  /// Streams that begin from now on have \p count events.
+  void SetEvents(int count) { events_ = count; }
+
   /// \returns how often each request was run, by its id.
   std::map<std::string, int> runs();
   /// \returns keys that reached the server; there must be none.
@@ -46,6 +49,7 @@
   std::atomic<int> running_{0};
   std::atomic<int> cuts_{0};
   std::atomic<int> refusals_{0};
+  std::atomic<int> events_{kEvents};
   std::mutex mutex_;
   std::map<std::string, int> runs_;
   std::vector<std::string> keys_;
--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -209,6 +209,13 @@
     } else {
       answer = Read(kind, name);
     }
+  } else if (condition_ == condition::late) {
+    ++waiting_writes_;
+    exchange.Abort();
+    co_await SleepFor(kLateWrite);
+    Write(request, *body, kind, name, status);
+    --waiting_writes_;
+    co_return;
   } else {
     answer = Write(request, *body, kind, name, status);
     if (condition_ == condition::losing && ++writes_ % 2 == 1) {
@@ -216,6 +223,9 @@
       co_return;
     }
   }
+  if (condition_ == condition::slow) {
+    co_await SleepFor(kSlowAnswer);
+  }
   co_await exchange.Send(std::move(answer));
 }
 
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -22,7 +22,11 @@
     serving,
     refusing,  ///< Answers 503 and does nothing.
     losing,    ///< Writes are done; every second one gets no answer.
+    slow,      ///< Calls are done; each answer takes kSlowAnswer more.
+    late,      ///< Writes get no answer and are done after kLateWrite.
   };
+  static constexpr std::chrono::milliseconds kSlowAnswer{300};
+  static constexpr std::chrono::milliseconds kLateWrite{700};
 
   boost::asio::awaitable<void> Handle(http_exchange& exchange) override;
 
@@ -39,6 +43,8 @@
   /// \returns the status, or null.
   boost::json::value Status(const std::string& kind, const std::string& name);
   int calls() const { return calls_; }
+  /// \returns writes whose connection was closed and that are still to be done.
+  int waiting_writes() const { return waiting_writes_; }
 
  private:
   struct object {
@@ -73,6 +79,7 @@
   std::atomic<condition> condition_{condition::serving};
   std::atomic<int> calls_{0};
   std::atomic<int> writes_{0};
+  std::atomic<int> waiting_writes_{0};
 };
 
 }  // namespace cardamomyard::standins
--- /dev/null
+++ b/test/harness/platform_fleet.h
@@ -0,0 +1,113 @@
+#ifndef CARDAMOMYARD_TEST_HARNESS_PLATFORM_FLEET_H_
+#define CARDAMOMYARD_TEST_HARNESS_PLATFORM_FLEET_H_
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <cstddef>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/service_host.h"
+#include "harness/child_process.h"
+#include "harness/test_client.h"
+#include "platform/platform_engine.h"
+#include "platform/platform_store.h"
+
+namespace cardamomyard::harness {
+
+/// \brief Sizes of a fleet on the stand-in of the users' platform.
+struct platform_size {
+  int engines = 2;
+  int slots = 4;            ///< Of each backend server.
+  double rate_per_s = 100;  ///< Of the one client account.
+};
+
+/// \brief Real gateways and workers beside a stand-in of the users' platform.
+class platform_fleet {
+ public:
+  static constexpr const char* kKey = "key-of-acme";
+
+  struct host {
+    std::string name;
+    host_address front = host_address::Make("0.0.0.0", 0);
+    host_address ready = host_address::Make("0.0.0.0", 0);
+    child_process* process = nullptr;
+  };
+
+  explicit platform_fleet(const platform_size& size = {});
+  ~platform_fleet();
+  platform_fleet(const platform_fleet&) = delete;
+  platform_fleet& operator=(const platform_fleet&) = delete;
+
+  standins::platform_store& store() { return *store_; }
+  const std::vector<standins::platform_engine*>& engines() const {
+    return engines_;
+  }
+  const host_address& engine_address(std::size_t number) const {
+    return engine_hosts_[number]->address();
+  }
+  test_client& client() { return client_; }
+  const std::filesystem::path& folder() const { return folder_; }
+  child_process& process(std::size_t number) { return *processes_[number]; }
+
+  /// Writes the entry of a backend server as the server itself does.
+  void RegisterEngine(const std::string& id,
+                      const host_address& address,
+                      const std::string& state);
+  /// Writes the configuration: the routes ask (may be repeated), draft (may
+  /// not) and lots (batch), and one account with \p keys.
+  void Configure(int version, const std::vector<std::string>& keys);
+
+  /// Starts a process in the role \p role.
+  host Start(const std::string& role, const std::string& name);
+  /// \returns whether the gateway says that it is ready.
+  bool Ready(const host& gateway);
+
+  http_request Request(const std::string& method,
+                       const std::string& target,
+                       const std::string& id,
+                       const std::string& body = "",
+                       const std::string& key = kKey) const;
+  /// \returns a batch job with the items PREFIX-0, PREFIX-1 and so on; the
+  /// first one can never be done.
+  static std::string Submission(int items, const std::string& prefix);
+  /// \returns one page of the results of \p job, empty when it is not served.
+  boost::json::object Results(const host& gateway,
+                              const std::string& job,
+                              int after = 0);
+  /// Waits until all \p items results of \p job are listed.
+  bool AllListed(const host& gateway, const std::string& job, int items);
+
+  /// \returns how many requests whose ids contain \p part the servers ran.
+  std::size_t Runs(const std::string& part);
+  std::string Log(const std::string& name) const;
+  /// \returns whether the log of \p name has a line with both texts.
+  bool Logged(const std::string& name,
+              const std::string& message,
+              const std::string& field) const;
+
+  /// Waits until \p holds. \returns whether it did within \p limit.
+  static bool Eventually(
+      const std::function<bool()>& holds,
+      std::chrono::milliseconds limit = std::chrono::seconds(10));
+
+ private:
+  void AddEngine(const std::string& id);
+
+  platform_size size_;
+  std::filesystem::path folder_;
+  standins::platform_store* store_ = nullptr;
+  std::unique_ptr<standins::service_host> store_host_;
+  std::vector<standins::platform_engine*> engines_;
+  std::vector<std::unique_ptr<standins::service_host>> engine_hosts_;
+  std::vector<std::string> seeds_;
+  std::vector<std::unique_ptr<child_process>> processes_;
+  test_client client_;
+};
+
+}  // namespace cardamomyard::harness
+
+#endif  // CARDAMOMYARD_TEST_HARNESS_PLATFORM_FLEET_H_
--- a/test/platform_path_test.cc
+++ b/test/platform_path_test.cc
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <csignal>
+#include <fstream>
 #include <future>
+#include <map>
 #include <set>
 #include <string>
 
@@ -22,23 +25,24 @@
 // server, on the way through a gateway.
 TEST_F(platform_fixture, Rule05_StreamIsServedWholeForTheKeysAccount) {
   const host gateway = StartGateway("g1");
-  const auto answer =
-      client_.Stream(gateway.front, Request("POST", "/draft/1", "r1", "hello"));
+  const auto answer = client().Stream(
+      gateway.front, Request("POST", "/draft/1", "r1", "hello"));
   EXPECT_EQ(answer.status, 200);
   EXPECT_TRUE(answer.whole) << answer.failure;
   EXPECT_EQ(CountEvents(answer.body), standins::platform_engine::kEvents);
   EXPECT_TRUE(answer.headers.Get("Response-Signature"));
-  for (standins::platform_engine* engine : engines_) {
+  for (standins::platform_engine* engine : engines()) {
     EXPECT_TRUE(engine->keys().empty());
     for (const std::string& account : engine->accounts()) {
       EXPECT_EQ(account, "acme");
     }
   }
   EXPECT_EQ(
-      client_.Call(gateway.front, Request("POST", "/none/1", "r2")).status,
+      client().Call(gateway.front, Request("POST", "/none/1", "r2")).status,
       404);
   EXPECT_EQ(
-      client_.Call(gateway.front, Request("POST", "/ask/1", "r3", "", "wrong"))
+      client()
+          .Call(gateway.front, Request("POST", "/ask/1", "r3", "", "wrong"))
           .status,
       401);
 }
@@ -46,11 +50,11 @@
 // Guards against a stream that a broken server ends although it could go on.
 TEST_F(platform_fixture, Rule08_CutStreamGoesOnAtAnotherServer) {
   const host gateway = StartGateway("g1");
-  for (standins::platform_engine* engine : engines_) {
+  for (standins::platform_engine* engine : engines()) {
     engine->CutNext(1);
   }
   const auto answer =
-      client_.Stream(gateway.front, Request("POST", "/ask/1", "r1", "hello"));
+      client().Stream(gateway.front, Request("POST", "/ask/1", "r1", "hello"));
   EXPECT_TRUE(answer.whole) << answer.failure << Log("g1");
   EXPECT_EQ(CountEvents(answer.body), standins::platform_engine::kEvents);
 }
@@ -59,14 +63,14 @@
 // a cut answer that looks finished.
 TEST_F(platform_fixture, Rule10_CutStreamThatMayNotBeRepeatedEndsAsCut) {
   const host gateway = StartGateway("g1");
-  for (standins::platform_engine* engine : engines_) {
+  for (standins::platform_engine* engine : engines()) {
     engine->CutNext(1);
   }
-  const auto answer =
-      client_.Stream(gateway.front, Request("POST", "/draft/1", "r1", "hello"));
+  const auto answer = client().Stream(
+      gateway.front, Request("POST", "/draft/1", "r1", "hello"));
   EXPECT_FALSE(answer.whole);
   int runs = 0;
-  for (standins::platform_engine* engine : engines_) {
+  for (standins::platform_engine* engine : engines()) {
     for (const auto& [id, count] : engine->runs()) {
       runs += count;
     }
@@ -77,16 +81,16 @@
 // Guards against a refusal without Retry-After, or one that waited.
 TEST_F(platform_fixture, Rule09_RefusedRequestIsAnsweredAtOnceAndHasNotRun) {
   const host gateway = StartGateway("g1");
-  for (standins::platform_engine* engine : engines_) {
+  for (standins::platform_engine* engine : engines()) {
     engine->RefuseNext(1);
   }
   const auto began = std::chrono::steady_clock::now();
   const auto answer =
-      client_.Call(gateway.front, Request("POST", "/draft/1", "r1", "hello"));
+      client().Call(gateway.front, Request("POST", "/draft/1", "r1", "hello"));
   EXPECT_EQ(answer.status, 503);
   EXPECT_TRUE(answer.headers.Get("Retry-After"));
   EXPECT_LT(std::chrono::steady_clock::now() - began, milliseconds(1000));
-  for (standins::platform_engine* engine : engines_) {
+  for (standins::platform_engine* engine : engines()) {
     EXPECT_TRUE(engine->runs().empty());
   }
 }
@@ -94,30 +98,33 @@
 // Guards against work for a server that has announced that it leaves.
 TEST_F(platform_fixture, Rule11_LeavingServerGetsNothingNew) {
   const host gateway = StartGateway("g1");
-  RegisterEngine("engine-0", engine_hosts_[0]->address(), "draining");
-  std::this_thread::sleep_for(milliseconds(500));
+  RegisterEngine("engine-0", engine_address(0), "draining");
+  ASSERT_TRUE(Eventually([&] {
+    return Logged("g1", "A backend server's entry changed.", "\"draining\"");
+  })) << Log("g1");
   for (int i = 0; i < 6; ++i) {
-    EXPECT_EQ(client_
+    EXPECT_EQ(client()
                   .Call(gateway.front, Request("POST", "/draft/1",
                                                "r" + std::to_string(i), "x"))
                   .status,
               200);
   }
-  EXPECT_TRUE(engines_[0]->runs().empty());
+  EXPECT_TRUE(engines()[0]->runs().empty());
 }
 
 // Guards against a key that works on after it was withdrawn, also when the
 // store's watches lost the change.
 TEST_F(platform_fixture, Rule06_WithdrawnKeyStopsWorkingAfterLostHistory) {
   const host gateway = StartGateway("g1");
-  ASSERT_EQ(client_.Call(gateway.front, Request("POST", "/draft/1", "r1", "x"))
+  ASSERT_EQ(client()
+                .Call(gateway.front, Request("POST", "/draft/1", "r1", "x"))
                 .status,
             200);
   Configure(2, {"another-key"});
-  store_->Compact();
+  store().Compact();
   EXPECT_TRUE(Eventually(
       [&] {
-        return client_
+        return client()
                    .Call(gateway.front, Request("POST", "/draft/1", "r2", "x"))
                    .status == 401;
       },
@@ -131,13 +138,14 @@
   std::promise<void> begun;
   bool first = true;
   auto stream = std::async(std::launch::async, [&] {
-    return client_.Stream(gateway.front, Request("POST", "/draft/1", "r1", "x"),
-                          [&](std::string_view) {
-                            if (std::exchange(first, false)) {
-                              begun.set_value();
-                            }
-                            return true;
-                          });
+    return client().Stream(gateway.front,
+                           Request("POST", "/draft/1", "r1", "x"),
+                           [&](std::string_view) {
+                             if (std::exchange(first, false)) {
+                               begun.set_value();
+                             }
+                             return true;
+                           });
   });
   begun.get_future().wait();
   gateway.process->Signal(SIGHUP);
@@ -154,10 +162,10 @@
   const host gateway = StartGateway("g1");
   const host other = StartGateway("g2");
   Start("worker", "w1");
-  const auto accepted = client_.Call(
+  const auto accepted = client().Call(
       gateway.front, Request("POST", "/lots/j1", "j1", Submission(6, "i")));
   ASSERT_EQ(accepted.status, 202) << accepted.body;
-  EXPECT_EQ(client_
+  EXPECT_EQ(client()
                 .Call(other.front,
                       Request("POST", "/lots/j1", "j1", Submission(6, "i")))
                 .status,
@@ -176,12 +184,12 @@
     EXPECT_EQ(std::string(entry.at("text").as_string()),
               impossible ? "" : WholeText());
   }
+  EXPECT_EQ(client()
+                .Call(gateway.front, Request("GET", "/v1/items/j1?id=i-3", "b"))
+                .body,
+            "do it");
   EXPECT_EQ(
-      client_.Call(gateway.front, Request("GET", "/v1/items/j1?id=i-3", "b"))
-          .body,
-      "do it");
-  EXPECT_EQ(
-      client_.Call(gateway.front, Request("GET", "/v1/lots/none", "b")).status,
+      client().Call(gateway.front, Request("GET", "/v1/lots/none", "b")).status,
       404);
 }
 
@@ -190,17 +198,16 @@
   const host gateway = StartGateway("g1");
   std::map<std::string, host> workers;
   for (const std::string name : {"w1", "w2"}) {
-    workers[name] = Start("worker", name);
+    workers[name] = StartWorker(name, gateway);
   }
-  std::this_thread::sleep_for(milliseconds(1000));
-  ASSERT_EQ(client_
+  ASSERT_EQ(client()
                 .Call(gateway.front,
                       Request("POST", "/lots/j1", "j1", Submission(20, "i")))
                 .status,
             202);
   std::string owner;
   ASSERT_TRUE(Eventually([&] {
-    const auto spec = store_->Spec("batch-job", "j1");
+    const auto spec = store().Spec("batch-job", "j1");
     if (!spec.is_string()) {
       return false;
     }
@@ -215,74 +222,124 @@
 // the store is away or loses its answers.
 TEST_F(platform_fixture, Rule09_StoreFaultsNeverMakeAnswersUntrue) {
   const host gateway = StartGateway("g1");
-  Start("worker", "w1");
-  std::this_thread::sleep_for(milliseconds(500));
-  store_->SetCondition(standins::platform_store::condition::refusing);
-  const auto refused = client_.Call(
+  StartWorker("w1", gateway);
+  store().SetCondition(standins::platform_store::condition::refusing);
+  const auto refused = client().Call(
       gateway.front, Request("POST", "/lots/j1", "j1", Submission(2, "a")));
   EXPECT_EQ(refused.status, 503);
-  store_->SetCondition(standins::platform_store::condition::losing);
-  const auto accepted = client_.Call(
+  store().SetCondition(standins::platform_store::condition::losing);
+  const auto accepted = client().Call(
       gateway.front, Request("POST", "/lots/j2", "j2", Submission(2, "b")));
-  store_->SetCondition(standins::platform_store::condition::serving);
+  store().SetCondition(standins::platform_store::condition::serving);
   if (accepted.status == 202) {
     EXPECT_TRUE(AllListed(gateway, "j2", 2)) << Log("w1");
   } else if (accepted.status == 503) {
-    EXPECT_TRUE(store_->Spec("batch-job", "j2").is_null());
+    EXPECT_TRUE(store().Spec("batch-job", "j2").is_null());
   } else {
     // Nothing was promised; sending it again must settle it.
-    EXPECT_EQ(client_
+    EXPECT_EQ(client()
                   .Call(gateway.front,
                         Request("POST", "/lots/j2", "j2", Submission(2, "b")))
                   .status,
               202);
     EXPECT_TRUE(AllListed(gateway, "j2", 2)) << Log("w1");
   }
-  EXPECT_TRUE(store_->Spec("batch-job", "j1").is_null());
+  EXPECT_TRUE(store().Spec("batch-job", "j1").is_null());
+}
+
+// Guards against a refusal that is overtaken by its own write, which the store
+// does after it has closed the connection.
+TEST_F(platform_fixture, Rule09_LateWritesNeverMakeAnswersUntrue) {
+  const host gateway = StartGateway("g1");
+  StartWorker("w1", gateway);
+  store().SetCondition(standins::platform_store::condition::late);
+  const auto answer = client().Call(
+      gateway.front, Request("POST", "/lots/j1", "j1", Submission(3, "a")));
+  store().SetCondition(standins::platform_store::condition::serving);
+  ASSERT_TRUE(Eventually([&] { return store().waiting_writes() == 0; }));
+  if (answer.status == 503) {
+    EXPECT_TRUE(store().Spec("batch-job", "j1").is_null()) << Log("g1");
+    EXPECT_EQ(Runs("a-"), 0U);
+  }
+  // The caller sends it again, as after any answer that is not final.
+  EXPECT_EQ(client()
+                .Call(gateway.front,
+                      Request("POST", "/lots/j1", "j1", Submission(3, "a")))
+                .status,
+            202);
+  EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
+}
+
+// Guards against online requests that wait for the store, and against jobs that
+// are refused although a slow store answers in time.
+TEST_F(platform_fixture, Rule09_SlowStoreDelaysOnlyJobs) {
+  const host gateway = StartGateway("g1");
+  StartWorker("w1", gateway);
+  store().SetCondition(standins::platform_store::condition::slow);
+  const auto began = std::chrono::steady_clock::now();
+  EXPECT_TRUE(client()
+                  .Stream(gateway.front, Request("POST", "/draft/1", "r1", "x"))
+                  .whole);
+  EXPECT_LT(std::chrono::steady_clock::now() - began,
+            standins::platform_store::kSlowAnswer);
+  EXPECT_EQ(client()
+                .Call(gateway.front,
+                      Request("POST", "/lots/j1", "j1", Submission(3, "a")))
+                .status,
+            202);
+  EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
 }
 
 // Guards against a job that runs on after its end was acknowledged.
 TEST_F(platform_fixture, Rule02_EndedJobStops) {
   const host gateway = StartGateway("g1");
   Start("worker", "w1");
-  ASSERT_EQ(client_
+  ASSERT_EQ(client()
                 .Call(gateway.front,
                       Request("POST", "/lots/j1", "j1", Submission(100, "i")))
                 .status,
             202);
   const auto running = [&] {
-    return engines_[0]->running() + engines_[1]->running();
+    return engines()[0]->running() + engines()[1]->running();
   };
   ASSERT_TRUE(Eventually([&] { return running() > 0; })) << Log("w1");
-  EXPECT_EQ(
-      client_.Call(gateway.front, Request("DELETE", "/v1/lots/j1", "d")).status,
-      200);
+  EXPECT_EQ(client()
+                .Call(gateway.front, Request("DELETE", "/v1/lots/j1", "d"))
+                .status,
+            200);
   EXPECT_TRUE(Eventually([&] { return running() == 0; }, milliseconds(3000)));
-  std::this_thread::sleep_for(milliseconds(300));
-  EXPECT_EQ(running(), 0);
+  // A later job goes through the same worker; by its end any item of the ended
+  // job that was still to run would have run.
+  const std::size_t begun = Runs("i-");
+  ASSERT_EQ(client()
+                .Call(gateway.front,
+                      Request("POST", "/lots/j2", "j2", Submission(8, "k")))
+                .status,
+            202);
+  EXPECT_TRUE(AllListed(gateway, "j2", 8)) << Log("w1");
+  EXPECT_EQ(Runs("i-"), begun);
 }
 
 // Guards against a host that is removed while it still holds jobs.
 TEST_F(platform_fixture, EvacuatedWorkerHandsItsJobsOver) {
   const host gateway = StartGateway("g1");
-  Start("worker", "w1");
-  Start("worker", "w2");
-  std::this_thread::sleep_for(milliseconds(1000));
+  StartWorker("w1", gateway);
+  StartWorker("w2", gateway);
   for (int job = 0; job < 4; ++job) {
     const std::string id = "j" + std::to_string(job);
-    ASSERT_EQ(client_
+    ASSERT_EQ(client()
                   .Call(gateway.front,
                         Request("POST", "/lots/" + id, id, Submission(10, id)))
                   .status,
               202);
   }
-  store_->Put("retirements", "w1", boost::json::object{{"period-s", 10}});
+  store().Put("retirements", "w1", boost::json::object{{"period-s", 10}});
   EXPECT_TRUE(Eventually([&] {
-    const auto status = store_->Status("retirements", "w1");
+    const auto status = store().Status("retirements", "w1");
     return status.is_object() &&
            status.as_object().at("state").as_string() == "completed";
   })) << Log("w1");
-  processes_[1]->Kill();
+  process(1).Kill();
   for (int job = 0; job < 4; ++job) {
     EXPECT_TRUE(AllListed(gateway, "j" + std::to_string(job), 10)) << Log("w2");
   }
@@ -290,12 +347,12 @@
 
 // Guards against settings that are only found wrong when traffic runs.
 TEST_F(platform_fixture, CheckNamesTheFieldThatIsWrong) {
-  const std::string file = (folder_ / "bad.json").string();
+  const std::string file = (folder() / "bad.json").string();
   std::ofstream(file) << R"({"node-name": "n1"})";
   harness::child_command command;
   command.program = "cardamomyard";
   command.arguments = {"gateway", "--settings", file, "--check"};
-  command.log_file = (folder_ / "check.log").string();
+  command.log_file = (folder() / "check.log").string();
   auto process = std::move(*child_process::Start(command));
   EXPECT_EQ(process->WaitForExit(milliseconds(5000)), 1);
   EXPECT_NE(Log("check").find("zone"), std::string::npos);
--- a/tools/loadgen/call_runner.cc
+++ b/tools/loadgen/call_runner.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "event_reader.h"
-
 namespace cardamomyard::loadgen {
 namespace asio = boost::asio;
 
@@ -27,11 +25,11 @@
       : record_(&record), started_(started), last_(started) {}
 
   void Feed(std::string_view piece, time_point now) {
-    for (const std::string& data : events_.Feed(piece)) {
-      if (data == "[DONE]") {
+    for (const stream_event& event : events_.Feed(piece)) {
+      if (event.data == kStreamEnd) {
         record_->complete = record_->error.empty();
-      } else if (data.starts_with(R"({"error")")) {
-        SetError(*record_, ParseErrorBody(record_->status, data));
+      } else if (event.data.starts_with(R"({"error")")) {
+        SetError(*record_, ParseErrorBody(record_->status, event.data));
       } else {
         Token(now);
       }
--- a/tools/loadgen/test/loadgen_test.cc
+++ b/tools/loadgen/test/loadgen_test.cc
@@ -4,7 +4,6 @@
 
 #include "arrivals.h"
 #include "cardamomyard/net.h"
-#include "event_reader.h"
 #include "load_profile.h"
 #include "load_run.h"
 #include "recorder.h"
@@ -40,16 +39,6 @@
   EXPECT_NEAR(rest, 900, 110);
 }
 
-// Guards against events lost or joined where a piece ends inside one.
-TEST(EventReader, JoinsPieces) {
-  event_reader reader;
-  EXPECT_TRUE(reader.Feed("data: {\"a\"").empty());
-  EXPECT_EQ(reader.Feed(":1}\n\ndata: x\n"),
-            std::vector<std::string>{"{\"a\":1}"});
-  EXPECT_EQ(reader.Feed("\ndata: [DONE]\n\n"),
-            (std::vector<std::string>{"x", "[DONE]"}));
-}
-
 TEST(Percentile, IsTheNearestRank) {
   EXPECT_EQ(Percentile({1, 2, 3, 4}, 0.5), 2);
   EXPECT_EQ(Percentile({1, 2, 3, 4}, 0.99), 4);
--- a/tools/measure_program/main.cc
+++ b/tools/measure_program/main.cc
@@ -6,6 +6,7 @@
 
 #include "customer_run.h"
 #include "fault_run.h"
+#include "gateway_run.h"
 #include "idle_run.h"
 #include "report.h"
 
@@ -89,6 +90,15 @@
     std::cerr << "measure: no customer is named \"" << chosen << "\"\n";
     return 2;
   }
+  if (parsed.count("gateway") > 0) {
+    const auto line = RunGateway();
+    if (!line) {
+      std::cerr << "measure: " << line.error().message() << "\n";
+      return 1;
+    }
+    std::cout << *line << std::endl;
+    return 0;
+  }
   if (parsed.count("idle") > 0) {
     idle_size idle;
     idle.accounts = parsed["accounts"].as<int>();
@@ -136,6 +146,7 @@
       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "faults", "Also run with a killed and a frozen process and no store")(
       "idle", "Only measure a fleet without load, for docs/CAPACITY.md")(
+      "gateway", "Only measure a gateway of the users' platform")(
       "accounts", "Client accounts with --idle",
       cxxopts::value<int>()->default_value("8"))(
       "entry-hosts", "Entry hosts with --idle",
--- a/tools/measure_program/process_usage.cc
+++ b/tools/measure_program/process_usage.cc
@@ -53,12 +53,17 @@
   return sum;
 }
 
-process_usage ReadUsage(harness::test_client& http,
-                        pid_t pid,
-                        const host_address& metrics) {
+process_usage ReadUsage(pid_t pid) {
   process_usage usage;
   usage.cpu_seconds = CpuSeconds(pid);
   usage.resident_mb = ResidentMb(pid);
+  return usage;
+}
+
+process_usage ReadUsage(harness::test_client& http,
+                        pid_t pid,
+                        const host_address& metrics) {
+  process_usage usage = ReadUsage(pid);
   const std::string text =
       http.Call(metrics, harness::JsonRequest("GET", "/metrics")).body;
   usage.control_bytes = SumOfMetric(text, "cardamomyard_control_bytes_total") +
--- a/tools/measure_program/process_usage.h
+++ b/tools/measure_program/process_usage.h
@@ -16,6 +16,9 @@
   double resident_mb = 0;
 };
 
+/// \returns processor time and memory of \p pid, without its traffic.
+process_usage ReadUsage(pid_t pid);
+
 /// \param metrics  where the process exposes its metrics.
 process_usage ReadUsage(harness::test_client& http,
                         pid_t pid,
