Scale a peer's silence with the number of peers

Cause: a host sends at most 300 digests a second, so with 270 peers each hears one in 900 ms, which is the time after which a peer counted as silent: hosts of larger fleets would take each other for lost, shrink quotas and forget hosts. Ruled out: more datagrams, which the smallest hosts (0.09 core) cannot carry. Silence is now four intervals, at least 900 ms as before, and forgetting waits for twice that. peer_table_test fails for 270, 400 and 1,000 peers with the old bound and passes now.

--- a/packages/fleet/src/fleet/peer_table.cc
+++ b/packages/fleet/src/fleet/peer_table.cc
@@ -1,5 +1,6 @@
 #include "src/fleet/peer_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cardamomyard {
@@ -8,6 +9,14 @@
 // A restarted host is back after some seconds; a lost one keeps its part of
 // every quota unused until it is forgotten.
 constexpr std::chrono::seconds kForgetAfter{12};
+// A placement is known to all peers about this long after it was made.
+constexpr std::chrono::milliseconds kLeastInterval{30};
+// Bounds the cost of digests for a host with many peers.
+constexpr int kMaxDatagramsPerSecond = 300;
+// Three lost datagrams in a row do no harm; a paused host is noticed within a
+// second in a small fleet.
+constexpr std::chrono::milliseconds kLeastSilence{900};
+constexpr int kSilentIntervals = 4;
 
 }  // namespace
 
@@ -45,8 +54,18 @@
   return true;
 }
 
+std::chrono::milliseconds peer_table::Interval() const {
+  const auto peers = static_cast<int>(peers_.size());
+  return std::max(kLeastInterval, std::chrono::milliseconds(
+                                      1000 * peers / kMaxDatagramsPerSecond));
+}
+
+std::chrono::milliseconds peer_table::Silence() const {
+  return std::max(kLeastSilence, kSilentIntervals * Interval());
+}
+
 bool peer_table::Live(const peer_state& peer, time_point now) const {
-  return peer.heard && now - *peer.heard < kSilence;
+  return peer.heard && now - *peer.heard < Silence();
 }
 
 std::vector<std::string> peer_table::NewlySilent(time_point now) {
@@ -67,10 +86,11 @@
   if (2 * (heard + 1) <= known + 1) {
     return;
   }
+  const auto forget_after = std::max<duration>(kForgetAfter, 2 * Silence());
   std::erase_if(peers_, [&](const auto& item) {
     const auto& [name, peer] = item;
     const time_point last = peer.heard.value_or(known_since_[name]);
-    if (now - last < kForgetAfter) {
+    if (now - last < forget_after) {
       return false;
     }
     known_since_.erase(name);
--- a/packages/fleet/src/fleet/peer_table.h
+++ b/packages/fleet/src/fleet/peer_table.h
@@ -32,9 +32,9 @@
 /// \brief The other hosts of the system and what they last said.
 class peer_table {
  public:
-  /// A host is silent after this time without a digest; hosts send one at
-  /// least each 250 ms.
-  static constexpr std::chrono::milliseconds kSilence{900};
+  /// Without changes a host sends a digest this often, or at Interval() if that
+  /// is longer.
+  static constexpr std::chrono::milliseconds kHeartbeat{250};
 
   /// \param self  name of this host, which is never a peer.
   explicit peer_table(std::string self);
@@ -52,6 +52,13 @@
   /// take itself for the whole.
   void ForgetLost(time_point now);
 
+  /// \returns the least time between two digests to the same peer. It grows
+  /// with the number of peers, so that a host sends a bounded number of
+  /// datagrams a second.
+  std::chrono::milliseconds Interval() const;
+  /// \returns how long a peer may send no digest before it is silent. It grows
+  /// with Interval(): all hosts know about the same peers.
+  std::chrono::milliseconds Silence() const;
   bool Live(const peer_state& peer, time_point now) const;
   const std::map<std::string, peer_state>& peers() const { return peers_; }
   const peer_state* Find(const std::string& host) const;
--- a/packages/gateway/src/gateway/gossip.cc
+++ b/packages/gateway/src/gateway/gossip.cc
@@ -13,14 +13,6 @@
 namespace {
 
 constexpr auto kUseResult = asio::as_tuple(asio::use_awaitable);
-// Without changes a peer hears this often that the host lives; less than a
-// third of peer_table::kSilence, so that two lost datagrams do no harm.
-constexpr std::chrono::milliseconds kHeartbeat{250};
-// A placement is known to all peers about this long after it was made.
-constexpr std::chrono::milliseconds kLeastInterval{30};
-// With many peers the cost of sending stays at about this many datagrams a
-// second.
-constexpr int kMaxDatagramsPerSecond = 300;
 
 }  // namespace
 
@@ -77,12 +69,6 @@
   }
 }
 
-std::chrono::milliseconds gossip::Interval() const {
-  const auto peers = static_cast<int>(peers_->peers().size());
-  return std::max(kLeastInterval, std::chrono::milliseconds(
-                                      1000 * peers / kMaxDatagramsPerSecond));
-}
-
 asio::awaitable<void> gossip::Receive() {
   udp::endpoint from;
   while (true) {
@@ -118,8 +104,10 @@
 
 asio::awaitable<void> gossip::Send() {
   while (true) {
+    const std::chrono::milliseconds interval = peers_->Interval();
     const time_point due =
-        last_sent_ + (changed_ ? duration(Interval()) : duration(kHeartbeat));
+        last_sent_ +
+        (changed_ ? interval : std::max(interval, peer_table::kHeartbeat));
     const time_point now = clock_->Now();
     if (now < due) {
       wake_.expires_after(due - now);
--- a/packages/gateway/src/gateway/gossip.h
+++ b/packages/gateway/src/gateway/gossip.h
@@ -56,7 +56,6 @@
   void SendNow();
   void SendTo(const host_address& address, const std::string& bytes);
   /// \returns the shortest time between two digests: more peers, fewer digests.
-  std::chrono::milliseconds Interval() const;
 
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer wake_;
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -51,7 +51,7 @@
     : size_(size), folder_(NewFolder()) {
   auto store = std::make_unique<standins::platform_store>();
   store_ = store.get();
-  store_host_ = std::move(*standins::service_host::Create(std::move(store)));
+  store_host_ = standins::service_host::Create(std::move(store)).value();
   for (int i = 0; i < size_.engines; ++i) {
     AddEngine("engine-" + std::to_string(i));
   }
@@ -133,7 +133,7 @@
   command.program = "cardamomyard";
   command.arguments = {role, "--settings", file};
   command.log_file = (folder_ / (name + ".log")).string();
-  processes_.push_back(std::move(*child_process::Start(command)));
+  processes_.push_back(std::move(child_process::Start(command).value()));
   made.process = processes_.back().get();
   return made;
 }
