Give items up and hear restarted hosts by steady time, whatever the wall clock says

Also a host restarted after a step back took a lower incarnation from its wall clock and its digests were dropped as stale for good. Old finished jobs were removed by wall time as well. Ruled out: storing ages in the job record, which costs a write for each job; a worker that watches jobs sees them all within the watch delay, and giving up late does no harm.

--- a/packages/fleet/src/fleet/peer_table.cc
+++ b/packages/fleet/src/fleet/peer_table.cc
@@ -39,9 +39,13 @@
   }
   peer_state& peer = peers_[digest.host];
   const load_digest& last = peer.digest;
-  const bool newer = !peer.heard || digest.incarnation > last.incarnation ||
-                     (digest.incarnation == last.incarnation &&
-                      digest.sequence > last.sequence);
+  // A host whose wall clock was set back starts again with a lower incarnation.
+  // Digests of its earlier run that arrive late come while it is still live.
+  const bool newer =
+      !peer.heard || digest.incarnation > last.incarnation ||
+      (digest.incarnation == last.incarnation &&
+       digest.sequence > last.sequence) ||
+      (digest.incarnation < last.incarnation && !Live(peer, now));
   if (!newer) {
     return false;
   }
@@ -56,8 +60,10 @@
 
 std::chrono::milliseconds peer_table::Interval() const {
   const auto peers = static_cast<int>(peers_.size());
-  return std::max(kLeastInterval, std::chrono::milliseconds(
-                                      1000 * peers / kMaxDatagramsPerSecond));
+  const int per_second = kMaxDatagramsPerSecond;
+  return std::max(
+      kLeastInterval,
+      std::chrono::milliseconds((1000 * peers + per_second - 1) / per_second));
 }
 
 std::chrono::milliseconds peer_table::Silence() const {
--- a/packages/fleet/test/peer_table_test.cc
+++ b/packages/fleet/test/peer_table_test.cc
@@ -55,6 +55,27 @@
   }
 }
 
+// Guards against a host that nobody hears any more because its wall clock, from
+// which it takes its incarnation, was set back before it started again.
+TEST_F(peer_table_test, RestartAfterAClockStepBackIsHeard) {
+  load_digest digest;
+  digest.host = "host-0";
+  digest.address = "10.0.0.1:1";
+  digest.incarnation = 5000;
+  digest.sequence = 9;
+  const host_address from = host_address::Make("10.0.0.1", 1);
+  ASSERT_TRUE(table_.Receive(digest, from, kStart));
+  digest.incarnation = 1000;
+  digest.sequence = 1;
+  // It may be a datagram of the run before.
+  EXPECT_FALSE(table_.Receive(digest, from, kStart + milliseconds(200)));
+  const time_point later = kStart + milliseconds(1000);
+  EXPECT_TRUE(table_.Receive(digest, from, later));
+  EXPECT_EQ(table_.LivePeers(host_role::gateway, later).size(), 1U);
+  digest.sequence = 2;
+  EXPECT_TRUE(table_.Receive(digest, from, later + milliseconds(100)));
+}
+
 // Guards against a cost of digests that grows with the square of the hosts.
 TEST_F(peer_table_test, DatagramsASecondAreBounded) {
   HearAll(1000, 1, kStart);
--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -20,12 +20,6 @@
 // longer and longer, as it may be what breaks the servers.
 constexpr int kBreaksBeforePause = 3;
 constexpr std::chrono::milliseconds kBreakPause{3000};
-// Assumed for a batch route that names no bounds.
-constexpr std::chrono::hours kDefaultRetention{24};
-
-std::chrono::milliseconds OrDefault(std::chrono::milliseconds bound) {
-  return bound.count() > 0 ? bound : kDefaultRetention;
-}
 
 }  // namespace
 
@@ -50,7 +44,7 @@
          });
 }
 
-void job_runner::Own(stored_job job) {
+void job_runner::Own(stored_job job, time_point first_seen) {
   const std::string id = job.record.id;
   owned_job* held = Find(id);
   if (held == nullptr) {
@@ -59,6 +53,7 @@
     }
     auto made = std::make_unique<owned_job>();
     made->stored = std::move(job);
+    made->first_seen = first_seen;
     made->changed = std::make_unique<asio::steady_timer>(host_->traffic());
     jobs_[id] = std::move(made);
     asio::co_spawn(host_->traffic(), Load(id), kEndOnException);
@@ -163,21 +158,20 @@
   const service_route* route =
       configuration ? configuration->FindRoute(job.stored.record.route)
                     : nullptr;
-  const time_point now = host_->time().Now();
-  const std::chrono::milliseconds age =
+  job_age age;
+  age.first_seen = job.first_seen;
+  age.now = host_->time().Now();
+  age.by_wall_time =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           host_->time().WallNow().time_since_epoch()) -
       std::chrono::milliseconds(job.stored.record.submitted_unix_ms);
-  const time_point submitted =
-      now - std::max(age, std::chrono::milliseconds(0));
-  item_limits limits;
-  limits.max_attempts = route != nullptr ? route->max_attempts : 1;
-  limits.due =
-      submitted + OrDefault(route != nullptr ? route->completion_objective
-                                             : std::chrono::milliseconds(0));
-  limits.expires =
-      submitted + OrDefault(route != nullptr ? route->retention
-                                             : std::chrono::milliseconds(0));
+  const item_limits limits =
+      route != nullptr
+          ? LimitsOf({route->max_attempts, route->completion_objective,
+                      route->retention},
+                     age)
+          : LimitsOf({}, age);
+
   for (std::size_t i = 0; i < job.input->items.size(); ++i) {
     const job_item& item = job.input->items[i];
     if (!job.settled.contains(item.id)) {
@@ -472,8 +466,9 @@
       // Another worker listed results of this job. Start again from what is
       // stored; items that are not listed run again.
       const stored_job again = job->stored;
+      const time_point first_seen = job->first_seen;
       Drop(id);
-      Own(again);
+      Own(again, first_seen);
       co_return;
     }
     std::move(job->fresh.begin(), job->fresh.end(),
--- a/packages/gateway/src/gateway/job_runner.h
+++ b/packages/gateway/src/gateway/job_runner.h
@@ -21,6 +21,7 @@
 /// \brief A job that this worker owns, with its results as stored.
 struct owned_job {
   stored_job stored;
+  time_point first_seen;  ///< When this worker first saw it in the store.
   std::shared_ptr<const job_input> input;
   stored_results results;
   /// All stored results by position.
@@ -41,7 +42,7 @@
   explicit job_runner(host_runtime& host);
 
   /// Takes over what the store says of a job that this worker owns.
-  void Own(stored_job job);
+  void Own(stored_job job, time_point first_seen);
   /// Another worker owns the job, or it is gone.
   void Drop(const std::string& job);
   /// Starts items where there is room and stops them where there is none.
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -36,6 +36,13 @@
 constexpr std::chrono::milliseconds kFirstRetry{100};
 constexpr std::chrono::milliseconds kMostRetry{1000};
 
+/// A job as last read from the store.
+struct known_job {
+  fleet_job record;
+  std::uint64_t revision = 0;
+  time_point first_seen;
+};
+
 class worker_impl final : public worker {
  public:
   static result<std::unique_ptr<worker>> Create(host_settings settings,
@@ -138,13 +145,16 @@
                  {{"job", record.name}, {"reason", read.error().message()}});
       return;
     }
-    stored_job& known = known_[record.name];
+    known_job& known =
+        known_.try_emplace(record.name, known_job{{}, 0, host_->time().Now()})
+            .first->second;
     if (record.revision <= known.revision) {
       return;
     }
-    known = {std::move(*read), record.revision};
+    known.record = std::move(*read);
+    known.revision = record.revision;
     if (known.record.owner == host_->settings().name) {
-      runner_->Own(known);
+      runner_->Own({known.record, known.revision}, known.first_seen);
     } else {
       runner_->Drop(record.name);
     }
@@ -222,8 +232,15 @@
                {"revision", seen},
                {"outcome", written ? "taken" : written.error().message()}});
     if (written) {
-      known_[id] = {record, *written};
-      runner_->Own(known_[id]);
+      // A watch event may have removed or changed it meanwhile.
+      known_job& taken =
+          known_.try_emplace(id, known_job{{}, 0, host_->time().Now()})
+              .first->second;
+      if (*written > taken.revision) {
+        taken.record = record;
+        taken.revision = *written;
+      }
+      runner_->Own({taken.record, taken.revision}, taken.first_seen);
     }
   }
 
@@ -231,14 +248,13 @@
   asio::awaitable<void> Collect() {
     while (true) {
       co_await SleepFor(kCollectPeriod);
-      const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-          host_->time().WallNow().time_since_epoch());
+      const time_point now = host_->time().Now();
       std::vector<fleet_job> old;
       for (const auto& [id, job] : known_) {
-        const std::chrono::milliseconds age =
-            now - std::chrono::milliseconds(job.record.submitted_unix_ms);
+        // Not by wall time, which may jump.
         if (job.record.finished && job.record.owner == host_->settings().name &&
-            age > host_->settings().bounds.result_retention + kCollectMargin) {
+            now - job.first_seen >
+                host_->settings().bounds.result_retention + kCollectMargin) {
           old.push_back(job.record);
         }
       }
@@ -346,7 +362,7 @@
   std::unique_ptr<worker_lease> lease_;
   std::unique_ptr<object_follower> job_follower_;
   std::unique_ptr<object_follower> evacuation_follower_;
-  std::map<std::string, stored_job> known_;
+  std::map<std::string, known_job> known_;
   part_log log_{"worker"};
   bool evacuating_ = false;
 };
--- a/packages/jobs/src/jobs/item_queue.cc
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -13,8 +13,25 @@
 constexpr std::chrono::milliseconds kAfterFailure{150};
 constexpr std::chrono::milliseconds kAfterCut{10};
 
+// Assumed for a batch route that names no bounds.
+constexpr std::chrono::hours kDefaultBound{24};
+
+std::chrono::milliseconds OrDefault(std::chrono::milliseconds bound) {
+  return bound.count() > 0 ? bound : kDefaultBound;
+}
+
 }  // namespace
 
+item_limits LimitsOf(const route_bounds& bounds, const job_age& age) {
+  const time_point submitted =
+      std::min<time_point>(age.first_seen, age.now - age.by_wall_time);
+  item_limits limits;
+  limits.max_attempts = bounds.max_attempts;
+  limits.due = submitted + OrDefault(bounds.completion_objective);
+  limits.expires = age.first_seen + OrDefault(bounds.retention);
+  return limits;
+}
+
 std::string_view Name(item_ending ending) {
   switch (ending) {
     case item_ending::completed:
--- a/packages/jobs/src/jobs/item_queue.h
+++ b/packages/jobs/src/jobs/item_queue.h
@@ -23,6 +23,28 @@
   friend bool operator==(const item_limits&, const item_limits&) = default;
 };
 
+/// \brief What a batch route says of its items; zero stands for no bound.
+struct route_bounds {
+  int max_attempts = 1;
+  std::chrono::milliseconds completion_objective{0};
+  std::chrono::milliseconds retention{0};
+};
+
+/// \brief What a worker knows of the age of a job.
+struct job_age {
+  time_point now;
+  time_point first_seen;  ///< When this worker first saw it; it is older.
+  /// By the wall clocks of two hosts, each of which may jump.
+  std::chrono::milliseconds by_wall_time{0};
+};
+
+/// \brief Sets the limits of the items of a job.
+///
+/// Items are ordered by the larger of both ages, since a worker that started
+/// after the job has only the wall time. They are given up by the time that
+/// this worker has seen pass, which is never too early.
+item_limits LimitsOf(const route_bounds& bounds, const job_age& age);
+
 /// How a run of an item ended.
 enum class item_ending {
   completed,
--- a/packages/jobs/test/item_queue_test.cc
+++ b/packages/jobs/test/item_queue_test.cc
@@ -73,5 +73,25 @@
             std::optional<bool>(false));
 }
 
+// Guards against items that are given up before their retention is over because
+// the wall clock jumped, and against an order that a jump back turns around.
+TEST(LimitsOf, AJumpOfTheWallClockGivesNothingUpEarly) {
+  const route_bounds bounds{3, std::chrono::seconds(18),
+                            std::chrono::seconds(60)};
+  const time_point seen{std::chrono::hours(5)};
+  const time_point now = seen + std::chrono::seconds(10);
+  for (const auto jump : {-3'600, -60, 0, 60, 3'600}) {
+    const item_limits limits =
+        LimitsOf(bounds, {now, seen, std::chrono::seconds(10 + jump)});
+    EXPECT_EQ(limits.max_attempts, 3);
+    EXPECT_EQ(limits.expires, seen + std::chrono::seconds(60)) << jump;
+    EXPECT_LE(limits.due, seen + std::chrono::seconds(18)) << jump;
+  }
+  // A worker that has just started knows only the wall time.
+  EXPECT_EQ(LimitsOf(bounds, {now, now, std::chrono::seconds(10)}).due,
+            seen + std::chrono::seconds(18));
+  EXPECT_GT(LimitsOf({}, {now, seen, {}}).expires, now + std::chrono::hours(1));
+}
+
 }  // namespace
 }  // namespace cardamomyard
