Name the host in each log line, count latencies in histograms, explain a request

Cause: logs of several hosts could not be told apart once collected, latencies were quantile summaries that cannot be added up over hosts, and finding the cause of a failed request took several greps. ConfigureLogs takes the host's name for each JSON line; metrics gain histograms (Boost.Histogram), used for the time to the first byte and the total time by route; cardamomctl explain ID FILE... joins the lines that name an id with what was believed of the servers that served it. Ruled out: prometheus-cpp, since the registry and its text format exist here. Tests: LogTimeline.*, MetricsTest.HistogramBucketsAreCumulative.

--- a/apps/cardamomctl/command.cc
+++ b/apps/cardamomctl/command.cc
@@ -14,8 +14,8 @@
 
 std::vector<verb> AllVerbs() {
   std::vector<verb> all;
-  for (const auto& group :
-       {ConfigVerbs(), EntityVerbs(), KeyVerbs(), FleetVerbs(), BatchVerbs()}) {
+  for (const auto& group : {ConfigVerbs(), EntityVerbs(), KeyVerbs(),
+                            FleetVerbs(), BatchVerbs(), LogVerbs()}) {
     all.insert(all.end(), group.begin(), group.end());
   }
   return all;
--- a/apps/cardamomctl/command.h
+++ b/apps/cardamomctl/command.h
@@ -42,6 +42,7 @@
 std::vector<verb> KeyVerbs();
 std::vector<verb> FleetVerbs();
 std::vector<verb> BatchVerbs();
+std::vector<verb> LogVerbs();
 
 /// \brief Runs the tool. \returns the exit code.
 int RunCommand(int argc,
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -146,8 +146,7 @@
 
 void host_runtime::Start() {
   log_.Info("The host starts.",
-            {{"host", settings_.name},
-             {"role", role_ == host_role::gateway ? "gateway" : "worker"},
+            {{"role", role_ == host_role::gateway ? "gateway" : "worker"},
              {"zone", settings_.zone},
              {"internal", settings_.internal_listen.ToString()},
              {"incarnation", incarnation_},
@@ -182,7 +181,7 @@
     if (!entry) {
       log_.Warning(
           "A host's entry cannot be read.",
-          {{"host", record.name}, {"reason", entry.error().message()}});
+          {{"peer", record.name}, {"reason", entry.error().message()}});
       return;
     }
     asio::post(traffic(), [this, entry = std::move(*entry)]() mutable {
@@ -226,8 +225,7 @@
       }
     }
     if (written) {
-      log_.Info("The host is registered.",
-                {{"host", settings_.name}, {"revision", written->revision}});
+      log_.Info("The host is registered.", {{"revision", written->revision}});
       co_return;
     }
     co_await SleepFor(delay.Next());
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -474,9 +474,10 @@
       .Counter("cardamomyard_requests_total",
                {{"outcome", request.outcome_text}})
       .Add();
+  const metric_labels labels{{"route", request.route->name}};
+  metrics.Histogram("cardamomyard_request_seconds", labels).Observe(total);
   if (request.first_byte) {
-    metrics.Summary("cardamomyard_first_byte_ms")
-        .Observe(static_cast<double>(first.count()));
+    metrics.Histogram("cardamomyard_first_byte_seconds", labels).Observe(first);
   }
 }
 
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -93,7 +93,7 @@
   }
 
   void Stop() override {
-    log_.Info("The worker stops.", {{"host", host_->settings().name}});
+    log_.Info("The worker stops.");
     const time_point end =
         host_->time().Now() + host_->settings().bounds.stop_grace - kStopMargin;
     std::promise<void> done;
@@ -105,7 +105,7 @@
     while (host_->time().Now() < end &&
            handed_over.wait_for(kStopPoll) != std::future_status::ready) {
     }
-    log_.Info("The worker has stopped.", {{"host", host_->settings().name}});
+    log_.Info("The worker has stopped.");
   }
 
  private:
@@ -339,7 +339,7 @@
     co_await ReportEvacuation(false);
     co_await HandOver();
     co_await ReportEvacuation(true);
-    log_.Info("The host is evacuated.", {{"host", host_->settings().name}});
+    log_.Info("The host is evacuated.");
   }
 
   asio::awaitable<void> ReportEvacuation(bool completed) {
--- a/packages/telemetry/src/telemetry/log.cc
+++ b/packages/telemetry/src/telemetry/log.cc
@@ -129,16 +129,29 @@
   }
 }
 
+/// \returns the field that names the host, as a part of spdlog's pattern.
+std::string HostField(std::string_view host) {
+  if (host.empty()) {
+    return "";
+  }
+  std::string field = "\"host\":";
+  for (const char c : boost::json::serialize(boost::json::string(host))) {
+    field.append(c == '%' ? "%%" : std::string(1, c));
+  }
+  return field + ",";
+}
+
 }  // namespace
 
-void ConfigureLogs(log_level level, log_format format) {
+void ConfigureLogs(log_level level, log_format format, std::string_view host) {
   log_settings& settings = Settings();
   settings.format = format;
   settings.sink->set_level(ToSpdlog(level));
   settings.sink->flush_on(spdlog::level::info);
   settings.sink->set_pattern(
       format == log_format::json
-          ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v)"
+          ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",)" +
+                HostField(host) + "%v"
           : "%Y-%m-%dT%H:%M:%S.%e%z %l %v");
 }
 
--- a/packages/telemetry/src/telemetry/log.h
+++ b/packages/telemetry/src/telemetry/log.h
@@ -18,7 +18,11 @@
 /// Writing never blocks: lines wait in a bounded queue that drops the oldest
 /// when standard output is not read, and at most some hundred lines a second
 /// are taken; a line tells how many were dropped.
-void ConfigureLogs(log_level level, log_format format);
+///
+/// \param host  name of this host, a field of each JSON line unless empty.
+void ConfigureLogs(log_level level,
+                   log_format format,
+                   std::string_view host = "");
 
 /// Waits until the lines written so far are out, at most \p limit.
 void FlushLogs(std::chrono::milliseconds limit);
--- a/packages/telemetry/src/telemetry/metrics.h
+++ b/packages/telemetry/src/telemetry/metrics.h
@@ -2,6 +2,7 @@
 #define CARDAMOMYARD_TELEMETRY_METRICS_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -44,6 +45,25 @@
   std::unique_ptr<accumulators> accumulators_;
 };
 
+/// \brief Counts of observed durations by bucket (Boost.Histogram).
+class metric_histogram {
+ public:
+  metric_histogram();
+  ~metric_histogram();
+  metric_histogram(const metric_histogram&) = delete;
+  metric_histogram& operator=(const metric_histogram&) = delete;
+
+  void Observe(std::chrono::milliseconds value);
+  /// \returns lines of the text exposition format, in seconds.
+  std::string Expose(const std::string& name,
+                     const metric_labels& labels) const;
+
+ private:
+  struct buckets;
+  mutable std::mutex mutex_;
+  std::unique_ptr<buckets> buckets_;
+};
+
 /// \brief The metrics of one process, exposed as text.
 class metrics_registry {
  public:
@@ -55,6 +75,8 @@
                       const metric_labels& labels = {});
   metric_summary& Summary(const std::string& name,
                           const metric_labels& labels = {});
+  metric_histogram& Histogram(const std::string& name,
+                              const metric_labels& labels = {});
 
   /// \returns all metrics in the text exposition format, version 0.0.4.
   std::string Expose() const;
@@ -65,6 +87,7 @@
   std::map<key, std::unique_ptr<metric_value>> counters_;
   std::map<key, std::unique_ptr<metric_value>> gauges_;
   std::map<key, std::unique_ptr<metric_summary>> summaries_;
+  std::map<key, std::unique_ptr<metric_histogram>> histograms_;
 };
 
 }  // namespace cardamomyard
--- a/packages/telemetry/test/telemetry_test.cc
+++ b/packages/telemetry/test/telemetry_test.cc
@@ -33,5 +33,28 @@
       << text;
 }
 
+// Guards against buckets that do not add up, and against a value at a bound
+// that counts for the next bucket.
+TEST(MetricsTest, HistogramBucketsAreCumulative) {
+  metrics_registry registry;
+  metric_histogram& latency =
+      registry.Histogram("request_seconds", {{"route", "ask"}});
+  for (const int ms : {0, 5, 6, 300, 301, 60'000}) {
+    latency.Observe(std::chrono::milliseconds(ms));
+  }
+  const std::string text = registry.Expose();
+  const auto has = [&text](const std::string& line) {
+    return text.find(line + "\n") != std::string::npos;
+  };
+  const std::string bucket = "request_seconds_bucket{le=\"";
+  EXPECT_TRUE(has("# TYPE request_seconds histogram")) << text;
+  EXPECT_TRUE(has(bucket + "0.005\",route=\"ask\"} 2")) << text;
+  EXPECT_TRUE(has(bucket + "0.01\",route=\"ask\"} 3")) << text;
+  EXPECT_TRUE(has(bucket + "0.3\",route=\"ask\"} 4")) << text;
+  EXPECT_TRUE(has(bucket + "20\",route=\"ask\"} 5")) << text;
+  EXPECT_TRUE(has(bucket + "+Inf\",route=\"ask\"} 6")) << text;
+  EXPECT_TRUE(has("request_seconds_count{route=\"ask\"} 6")) << text;
+}
+
 }  // namespace
 }  // namespace cardamomyard
