--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -147,12 +147,6 @@
   }
 
   asio::awaitable<void> AnswerReady(http_exchange& exchange) {
-    if (exchange.request().target == "/metrics") {
-      http_response metrics;
-      metrics.body = host_->metrics().Expose();
-      co_await exchange.Send(std::move(metrics));
-      co_return;
-    }
     http_response answer;
     answer.status = Ready() ? 200 : 503;
     co_await exchange.Send(std::move(answer));
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -141,6 +141,16 @@
     return Fail(server.error());
   }
   internal_server_ = std::move(*server);
+  if (settings_.metrics_listen) {
+    options.listen = *settings_.metrics_listen;
+    auto metrics = http_server::Create(
+        options, traffic_,
+        [this](http_exchange& exchange) { return HandleMetrics(exchange); });
+    if (!metrics) {
+      return Fail(metrics.error());
+    }
+    metrics_server_ = std::move(*metrics);
+  }
   return {};
 }
 
@@ -152,6 +162,9 @@
              {"incarnation", incarnation_},
              {"first_start", settings_.first_start ? "yes" : "no"}});
   internal_server_->Start();
+  if (metrics_server_) {
+    metrics_server_->Start();
+  }
   inventory_->Start();
   gossip_->Start();
   FollowHosts();
@@ -360,13 +373,22 @@
     co_return;
   }
   if (target == kMetricsPath) {
-    http_response answer;
-    answer.headers.Set("Content-Type", "text/plain; version=0.0.4");
-    answer.body = metrics_.Expose();
-    co_await exchange.Send(std::move(answer));
+    co_await HandleMetrics(exchange);
     co_return;
   }
   co_await events_.on_internal(exchange);
 }
 
+asio::awaitable<void> host_runtime::HandleMetrics(http_exchange& exchange) {
+  if (exchange.request().target != kMetricsPath) {
+    co_await exchange.Send(
+        ErrorResponse(error::Make(error_kind::not_found, "no such page"), ""));
+    co_return;
+  }
+  http_response answer;
+  answer.headers.Set("Content-Type", "text/plain; version=0.0.4");
+  answer.body = metrics_.Expose();
+  co_await exchange.Send(std::move(answer));
+}
+
 }  // namespace cardamomyard
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -91,6 +91,7 @@
   boost::asio::awaitable<void> CatchUpFromPeers();
   boost::asio::awaitable<void> RefreshBackends();
   boost::asio::awaitable<void> HandleInternal(http_exchange& exchange);
+  boost::asio::awaitable<void> HandleMetrics(http_exchange& exchange);
   /// Tells the store which peers can make calls for this host.
   void UpdateStorePeers();
   /// \returns whether this host keeps its watches short for all.
@@ -116,6 +117,7 @@
   std::unique_ptr<gossip> gossip_;
   std::unique_ptr<object_follower> host_follower_;
   std::unique_ptr<http_server> internal_server_;
+  std::unique_ptr<http_server> metrics_server_;
   bool draining_ = false;
 
   thread_pool traffic_{1};
--- a/packages/gateway/src/gateway/host_settings.h
+++ b/packages/gateway/src/gateway/host_settings.h
@@ -35,6 +35,8 @@
   /// Callers and the balancer; gateways only.
   std::optional<host_address> caller_listen;
   std::optional<host_address> ready_listen;
+  /// Where /metrics is served beside the internal address.
+  std::optional<host_address> metrics_listen;
   /// Other hosts of the system: HTTP over TCP, digests over UDP.
   host_address internal_listen = host_address::Make("127.0.0.1", 0);
   /// Internal addresses of hosts to try when the store does not answer.
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -101,8 +101,10 @@
                                              {"burst", size_.rate_per_s}}}}});
 }
 
-platform_fleet::host platform_fleet::Start(const std::string& role,
-                                           const std::string& name) {
+platform_fleet::host platform_fleet::Start(
+    const std::string& role,
+    const std::string& name,
+    const std::vector<std::string>& flags) {
   host made;
   made.name = name;
   made.front = *ReserveAddress();
@@ -132,6 +134,7 @@
   child_command command;
   command.program = "cardamomyard";
   command.arguments = {role, "--settings", file};
+  command.arguments.insert(command.arguments.end(), flags.begin(), flags.end());
   command.log_file = (folder_ / (name + ".log")).string();
   processes_.push_back(std::move(child_process::Start(command).value()));
   made.process = processes_.back().get();
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -61,8 +61,10 @@
   /// not) and lots (batch), and one account with \p keys.
   void Configure(int version, const std::vector<std::string>& keys);
 
-  /// Starts a process in the role \p role.
-  host Start(const std::string& role, const std::string& name);
+  /// Starts a process in the role \p role with more \p flags.
+  host Start(const std::string& role,
+             const std::string& name,
+             const std::vector<std::string>& flags = {});
   /// \returns whether the gateway says that it is ready.
   bool Ready(const host& gateway);
 
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -4,8 +4,10 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 #include "harness/platform_fleet.h"
+#include "harness/ports.h"
 
 namespace cardamomyard {
 
@@ -16,8 +18,9 @@
 class platform_fixture : public ::testing::Test,
                          protected harness::platform_fleet {
  protected:
-  host StartGateway(const std::string& name) {
-    host made = Start("gateway", name);
+  host StartGateway(const std::string& name,
+                    const std::vector<std::string>& flags = {}) {
+    host made = Start("gateway", name, flags);
     EXPECT_TRUE(Eventually([&] { return Ready(made); }))
         << "the gateway never became ready:\n"
         << Log(name);
--- a/test/platform_path_test.cc
+++ b/test/platform_path_test.cc
@@ -345,6 +345,26 @@
   }
 }
 
+// Guards against a metrics address that serves nothing, or no histograms.
+TEST_F(platform_fixture, MetricsAreServedOnTheirOwnPort) {
+  const host_address metrics = *harness::ReserveAddress();
+  const host gateway =
+      StartGateway("g1", {"--metrics-port", std::to_string(metrics.port())});
+  ASSERT_TRUE(client()
+                  .Stream(gateway.front, Request("POST", "/draft/1", "r1", "x"))
+                  .whole);
+  http_request request;
+  request.target = "/metrics";
+  const auto page = client().Call(metrics, request);
+  EXPECT_EQ(page.status, 200);
+  EXPECT_NE(page.body.find(
+                "cardamomyard_first_byte_seconds_count{route=\"draft\"} 1"),
+            std::string::npos)
+      << page.body;
+  request.target = "/v1/ready";
+  EXPECT_EQ(client().Call(metrics, request).status, 404);
+}
+
 // Guards against settings that are only found wrong when traffic runs.
 TEST_F(platform_fixture, CheckNamesTheFieldThatIsWrong) {
   const std::string file = (folder() / "bad.json").string();
