--- a/packages/fleet/src/fleet/batch_placement.cc
+++ b/packages/fleet/src/fleet/batch_placement.cc
@@ -42,7 +42,7 @@
   });
 }
 
-std::optional<backend_entry> batch_placement::Choose(
+std::optional<backend_status> batch_placement::Choose(
     const std::vector<backend_status>& servers,
     const std::vector<std::string>& workers,
     int reserve,
@@ -79,7 +79,7 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  return best->entry;
+  return *best;
 }
 
 int batch_placement::Reserve(std::chrono::milliseconds objective) {
--- a/packages/fleet/src/fleet/batch_placement.h
+++ b/packages/fleet/src/fleet/batch_placement.h
@@ -46,7 +46,7 @@
   /// \param workers  names of the live workers, with this one.
   /// \param reserve  slots of each server that stay free.
   /// \returns the server with the most free slots, or nothing.
-  std::optional<backend_entry> Choose(
+  std::optional<backend_status> Choose(
       const std::vector<backend_status>& servers,
       const std::vector<std::string>& workers,
       int reserve,
--- a/packages/fleet/src/fleet/online_placement.cc
+++ b/packages/fleet/src/fleet/online_placement.cc
@@ -97,7 +97,7 @@
     }
   }
   if (best) {
-    return place_at{best->entry, ExpectedWait(*best, hold)};
+    return place_at{*best, ExpectedWait(*best, hold)};
   }
   if (shortest) {
     return place_later{*shortest};
--- a/packages/fleet/src/fleet/online_placement.h
+++ b/packages/fleet/src/fleet/online_placement.h
@@ -18,7 +18,7 @@
 
 /// Send the request to this server now.
 struct place_at {
-  backend_entry backend;
+  backend_status server;  ///< With the loads that decided.
   std::chrono::milliseconds expected_wait{0};
 };
 /// Every server is busy; one may be free in a moment.
--- a/packages/fleet/src/fleet/peer_table.cc
+++ b/packages/fleet/src/fleet/peer_table.cc
@@ -70,6 +70,16 @@
   return std::max(kLeastSilence, kSilentIntervals * Interval());
 }
 
+std::chrono::milliseconds peer_table::OldestDigest(time_point now) const {
+  duration oldest{0};
+  for (const auto& [name, peer] : peers_) {
+    if (Live(peer, now)) {
+      oldest = std::max(oldest, now - *peer.heard);
+    }
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(oldest);
+}
+
 bool peer_table::Live(const peer_state& peer, time_point now) const {
   return peer.heard && now - *peer.heard < Silence();
 }
--- a/packages/fleet/src/fleet/peer_table.h
+++ b/packages/fleet/src/fleet/peer_table.h
@@ -59,6 +59,9 @@
   /// \returns how long a peer may send no digest before it is silent. It grows
   /// with Interval(): all hosts know about the same peers.
   std::chrono::milliseconds Silence() const;
+  /// \returns the age of the oldest of the live peers' digests: loads of other
+  /// hosts are known as of then.
+  std::chrono::milliseconds OldestDigest(time_point now) const;
   bool Live(const peer_state& peer, time_point now) const;
   const std::map<std::string, peer_state>& peers() const { return peers_; }
   const peer_state* Find(const std::string& host) const;
--- a/packages/fleet/test/batch_placement_test.cc
+++ b/packages/fleet/test/batch_placement_test.cc
@@ -119,9 +119,9 @@
       if (!chosen) {
         return;
       }
-      ++held_[worker][chosen->id];
+      ++held_[worker][chosen->entry.id];
       ++starts_;
-      placement.Started(chosen->id, clock_.Now());
+      placement.Started(chosen->entry.id, clock_.Now());
     }
   }
 
--- a/packages/fleet/test/online_placement_test.cc
+++ b/packages/fleet/test/online_placement_test.cc
@@ -116,7 +116,7 @@
         ++outcome.refused;
         continue;
       }
-      auto& busy = slots[place->backend.id];
+      auto& busy = slots[place->server.entry.id];
       while (!busy.empty() && busy.top() <= clock.Now()) {
         busy.pop();
       }
@@ -129,8 +129,8 @@
           start + milliseconds(static_cast<std::int64_t>(
                       kHold.count() * length_factor(random)));
       busy.push(end);
-      pools[host].Began(place->backend.id, work_class::online);
-      ends.push({end, host, place->backend.id});
+      pools[host].Began(place->server.entry.id, work_class::online);
+      ends.push({end, host, place->server.entry.id});
       (start - clock.Now() <= kObjective ? outcome.in_time : outcome.late) += 1;
       outcome.slow += start - clock.Now() > kFirstTokenTarget ? 1 : 0;
     }
@@ -166,7 +166,7 @@
   const auto choose = [&] {
     const auto chosen =
         placement.Choose(pool, "lm", {}, milliseconds(100), clock.Now());
-    return std::get<place_at>(chosen).backend.id;
+    return std::get<place_at>(chosen).server.entry.id;
   };
   EXPECT_EQ(choose(), "near");
   pool.Began("near", work_class::online);
@@ -184,7 +184,7 @@
   for (int i = 0; i < 10; ++i) {
     const auto chosen =
         placement.Choose(pool, "lm", {}, milliseconds(100), clock.Now());
-    EXPECT_EQ(std::get<place_at>(chosen).backend.id, "b");
+    EXPECT_EQ(std::get<place_at>(chosen).server.entry.id, "b");
   }
   const auto chosen =
       placement.Choose(pool, "lm", {"b"}, milliseconds(100), clock.Now());
--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -329,11 +329,20 @@
   auto run = std::make_shared<active_item>();
   run->job = item->job;
   run->item = item->item;
-  run->backend = *backend;
+  run->backend = backend->entry;
   run->canceller = std::make_shared<call_canceller>();
   runs_[{item->job, item->item}] = run;
-  placement_.Started(backend->id, now);
-  host_->Began(backend->id, work_class::batch);
+  placement_.Started(run->backend.id, now);
+  log_.Info("A batch item goes to a server.",
+            {{"job", item->job},
+             {"item", item->item},
+             {"backend", run->backend.id},
+             {"from_event", item->last_event},
+             {"online", backend->online},
+             {"batch", backend->batch},
+             {"slots", run->backend.slots},
+             {"load_age_ms", host_->peers().OldestDigest(now).count()}});
+  host_->Began(run->backend.id, work_class::batch);
   asio::co_spawn(
       host_->traffic(),
       Run(std::move(run), job->input, &job->input->items[item->index], *item,
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -105,8 +105,7 @@
       co_await Refuse(request, place.error());
       co_return;
     }
-    if (co_await Attempt(request, place->backend, place->expected_wait) ==
-        next_step::finished) {
+    if (co_await Attempt(request, *place) == next_step::finished) {
       co_return;
     }
   }
@@ -186,8 +185,9 @@
 
 asio::awaitable<request_handler::next_step> request_handler::Attempt(
     request_state& request,
-    const backend_entry& backend,
-    std::chrono::milliseconds wait) {
+    const place_at& place) {
+  const backend_entry& backend = place.server.entry;
+  const std::chrono::milliseconds wait = place.expected_wait;
   forward_fields fields;
   fields.backend = backend.id;
   fields.account = request.account;
@@ -218,6 +218,20 @@
   const load_scope load(*host_, backend.id);
   const time_point began = host_->time().Now();
   ++request.sent;
+  log_.Info("A request goes to a server.",
+            {{"request", request.caller.id},
+             {"route", request.route->name},
+             {"account", request.account},
+             {"backend", backend.id},
+             {"attempt", request.sent},
+             {"online", place.server.online},
+             {"batch", place.server.batch},
+             {"slots", backend.slots},
+             {"avoided", place.server.avoided ? "yes" : "no"},
+             {"load_age_ms", host_->peers().OldestDigest(began).count()},
+             {"expected_wait_ms", wait.count()},
+             {"left_ms", fields.time_left->count()},
+             {"configuration", request.configuration->version()}});
   options.head_timeout = HeadLimit(request, wait);
   auto call =
       co_await host_->http().Open(backend.address, std::move(message), options);
@@ -407,13 +421,16 @@
   const bool can_move = request.route->repeatable() &&
                         request.sent < request.route->max_attempts &&
                         !out_of_time && !request.caller_left;
-  log_.Warning("A server broke off a request.",
-               {{"request", request.caller.id},
-                {"backend", backend.id},
-                {"attempt", request.sent},
-                {"last_event", request.last_event.value_or(-1)},
-                {"moves_on", can_move ? "yes" : "no"},
-                {"reason", cause.message()}});
+  log_.Warning(
+      "A server broke off a request.",
+      {{"request", request.caller.id},
+       {"backend", backend.id},
+       {"attempt", request.sent},
+       {"last_event", request.last_event.value_or(-1)},
+       {"moves_on", can_move ? "yes" : "no"},
+       {"route", request.route->name},
+       {"limit_ms", Milliseconds(request.deadline - request.arrived).count()},
+       {"reason", cause.message()}});
   if (can_move) {
     co_return next_step::try_again;
   }
@@ -456,19 +473,21 @@
                          ? Milliseconds(*request.first_byte - request.arrived)
                          : std::chrono::milliseconds(-1);
   const auto age = host_->stock().store_age();
-  log_.Info("An online request ended.",
-            {{"request", request.caller.id},
-             {"route", request.route->name},
-             {"account", request.account},
-             {"service", request.service},
-             {"servers", request.servers},
-             {"attempts", request.sent},
-             {"status", request.status},
-             {"outcome", request.outcome_text},
-             {"first_ms", first.count()},
-             {"total_ms", total.count()},
-             {"configuration", request.configuration->version()},
-             {"store_age_ms", age ? age->count() : -1}});
+  log_.Info(
+      "An online request ended.",
+      {{"request", request.caller.id},
+       {"route", request.route->name},
+       {"account", request.account},
+       {"service", request.service},
+       {"servers", request.servers},
+       {"attempts", request.sent},
+       {"status", request.status},
+       {"outcome", request.outcome_text},
+       {"limit_ms", Milliseconds(request.deadline - request.arrived).count()},
+       {"first_ms", first.count()},
+       {"total_ms", total.count()},
+       {"configuration", request.configuration->version()},
+       {"store_age_ms", age ? age->count() : -1}});
   metrics_registry& metrics = host_->metrics();
   metrics
       .Counter("cardamomyard_requests_total",
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -32,8 +32,7 @@
 
   boost::asio::awaitable<void> Serve(request_state& request);
   boost::asio::awaitable<next_step> Attempt(request_state& request,
-                                            const backend_entry& backend,
-                                            std::chrono::milliseconds wait);
+                                            const place_at& place);
   boost::asio::awaitable<next_step> TakeAnswer(request_state& request,
                                                const backend_entry& backend,
                                                http_call& call);
--- a/packages/wire/src/wire/codec.cc
+++ b/packages/wire/src/wire/codec.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/wire/age_codec.h"
 #include "src/wire/thrift_buffer.h"
 
 namespace cardamomyard {
@@ -13,25 +14,15 @@
 
 // A control message of 3,400 suspects and 560 hosts stays well below this.
 constexpr int kMaxMessageBytes = 1 << 20;
-constexpr std::int64_t kNever = -1;
 
 template <class Wire>
 result<Wire> Deserialize(std::string_view bytes) {
   return internal::Deserialize<Wire>(bytes, kMaxMessageBytes);
 }
 
+using internal::FromAge;
 using internal::Serialize;
-
-std::int64_t FromAge(const event_age& age) {
-  return age ? age->count() : kNever;
-}
-
-event_age ToAge(std::int64_t milliseconds) {
-  if (milliseconds < 0) {
-    return std::nullopt;
-  }
-  return std::chrono::milliseconds(milliseconds);
-}
+using internal::ToAge;
 
 thrift_wire::Suspect ToWire(const suspect_message& entry) {
   thrift_wire::Suspect wire;
--- a/packages/wire/src/wire/fleet_codec.cc
+++ b/packages/wire/src/wire/fleet_codec.cc
@@ -2,16 +2,18 @@
 
 #include <control_types.h>
 
+#include "src/wire/age_codec.h"
 #include "src/wire/thrift_buffer.h"
 
 namespace cardamomyard {
 namespace thrift_wire = internal::thrift_wire;
 using internal::ConvertList;
+using internal::FromAge;
 using internal::Serialize;
+using internal::ToAge;
 
 namespace {
 
-constexpr std::int64_t kNever = -1;
 // A digest travels in one datagram.
 constexpr int kMaxDigestBytes = 64 * 1024;
 // Configuration and entries of some thousand backend servers.
@@ -19,17 +21,6 @@
 // Results of one page, each at most some hundred kilobytes of text.
 constexpr int kMaxPageBytes = 16 << 20;
 
-std::int64_t FromAge(const event_age& age) {
-  return age ? age->count() : kNever;
-}
-
-event_age ToAge(std::int64_t milliseconds) {
-  if (milliseconds < 0) {
-    return std::nullopt;
-  }
-  return std::chrono::milliseconds(milliseconds);
-}
-
 }  // namespace
 
 std::string Encode(const load_digest& message) {
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -165,7 +165,10 @@
   return request;
 }
 
-std::string platform_fleet::Submission(int items, const std::string& prefix) {
+http_response platform_fleet::Submit(const host& gateway,
+                                     const std::string& job,
+                                     int items,
+                                     const std::string& prefix) {
   json::array list;
   for (int i = 0; i < items; ++i) {
     const std::string body = i == 0 ? "impossible" : "do it";
@@ -175,7 +178,10 @@
                                 {"body", Base64Encode(body)},
                                 {"tokens", 100}});
   }
-  return json::serialize(json::object{{"items", std::move(list)}});
+  return client_.Call(
+      gateway.front,
+      Request("POST", "/lots/" + job, job,
+              json::serialize(json::object{{"items", std::move(list)}})));
 }
 
 json::object platform_fleet::Results(const host& gateway,
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -73,9 +73,12 @@
                        const std::string& id,
                        const std::string& body = "",
                        const std::string& key = kKey) const;
-  /// \returns a batch job with the items PREFIX-0, PREFIX-1 and so on; the
-  /// first one can never be done.
-  static std::string Submission(int items, const std::string& prefix);
+  /// Submits a batch job with the items PREFIX-0, PREFIX-1 and so on; the first
+  /// one can never be done.
+  http_response Submit(const host& gateway,
+                       const std::string& job,
+                       int items,
+                       const std::string& prefix);
   /// \returns one page of the results of \p job, empty when it is not served.
   boost::json::object Results(const host& gateway,
                               const std::string& job,
--- a/test/platform_path_test.cc
+++ b/test/platform_path_test.cc
@@ -162,14 +162,9 @@
   const host gateway = StartGateway("g1");
   const host other = StartGateway("g2");
   Start("worker", "w1");
-  const auto accepted = client().Call(
-      gateway.front, Request("POST", "/lots/j1", "j1", Submission(6, "i")));
+  const auto accepted = Submit(gateway, "j1", 6, "i");
   ASSERT_EQ(accepted.status, 202) << accepted.body;
-  EXPECT_EQ(client()
-                .Call(other.front,
-                      Request("POST", "/lots/j1", "j1", Submission(6, "i")))
-                .status,
-            202);
+  EXPECT_EQ(Submit(other, "j1", 6, "i").status, 202);
   ASSERT_TRUE(AllListed(other, "j1", 6)) << Log("w1");
   const auto results = Results(gateway, "j1");
   EXPECT_EQ(results, Results(other, "j1"));
@@ -200,11 +195,7 @@
   for (const std::string name : {"w1", "w2"}) {
     workers[name] = StartWorker(name, gateway);
   }
-  ASSERT_EQ(client()
-                .Call(gateway.front,
-                      Request("POST", "/lots/j1", "j1", Submission(20, "i")))
-                .status,
-            202);
+  ASSERT_EQ(Submit(gateway, "j1", 20, "i").status, 202);
   std::string owner;
   ASSERT_TRUE(Eventually([&] {
     const auto spec = store().Spec("batch-job", "j1");
@@ -224,12 +215,10 @@
   const host gateway = StartGateway("g1");
   StartWorker("w1", gateway);
   store().SetCondition(standins::platform_store::condition::refusing);
-  const auto refused = client().Call(
-      gateway.front, Request("POST", "/lots/j1", "j1", Submission(2, "a")));
+  const auto refused = Submit(gateway, "j1", 2, "a");
   EXPECT_EQ(refused.status, 503);
   store().SetCondition(standins::platform_store::condition::losing);
-  const auto accepted = client().Call(
-      gateway.front, Request("POST", "/lots/j2", "j2", Submission(2, "b")));
+  const auto accepted = Submit(gateway, "j2", 2, "b");
   store().SetCondition(standins::platform_store::condition::serving);
   if (accepted.status == 202) {
     EXPECT_TRUE(AllListed(gateway, "j2", 2)) << Log("w1");
@@ -237,11 +226,7 @@
     EXPECT_TRUE(store().Spec("batch-job", "j2").is_null());
   } else {
     // Nothing was promised; sending it again must settle it.
-    EXPECT_EQ(client()
-                  .Call(gateway.front,
-                        Request("POST", "/lots/j2", "j2", Submission(2, "b")))
-                  .status,
-              202);
+    EXPECT_EQ(Submit(gateway, "j2", 2, "b").status, 202);
     EXPECT_TRUE(AllListed(gateway, "j2", 2)) << Log("w1");
   }
   EXPECT_TRUE(store().Spec("batch-job", "j1").is_null());
@@ -253,8 +238,7 @@
   const host gateway = StartGateway("g1");
   StartWorker("w1", gateway);
   store().SetCondition(standins::platform_store::condition::late);
-  const auto answer = client().Call(
-      gateway.front, Request("POST", "/lots/j1", "j1", Submission(3, "a")));
+  const auto answer = Submit(gateway, "j1", 3, "a");
   store().SetCondition(standins::platform_store::condition::serving);
   ASSERT_TRUE(Eventually([&] { return store().waiting_writes() == 0; }));
   if (answer.status == 503) {
@@ -262,11 +246,7 @@
     EXPECT_EQ(Runs("a-"), 0U);
   }
   // The caller sends it again, as after any answer that is not final.
-  EXPECT_EQ(client()
-                .Call(gateway.front,
-                      Request("POST", "/lots/j1", "j1", Submission(3, "a")))
-                .status,
-            202);
+  EXPECT_EQ(Submit(gateway, "j1", 3, "a").status, 202);
   EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
 }
 
@@ -282,11 +262,7 @@
                   .whole);
   EXPECT_LT(std::chrono::steady_clock::now() - began,
             standins::platform_store::kSlowAnswer);
-  EXPECT_EQ(client()
-                .Call(gateway.front,
-                      Request("POST", "/lots/j1", "j1", Submission(3, "a")))
-                .status,
-            202);
+  EXPECT_EQ(Submit(gateway, "j1", 3, "a").status, 202);
   EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
 }
 
@@ -294,11 +270,7 @@
 TEST_F(platform_fixture, Rule02_EndedJobStops) {
   const host gateway = StartGateway("g1");
   Start("worker", "w1");
-  ASSERT_EQ(client()
-                .Call(gateway.front,
-                      Request("POST", "/lots/j1", "j1", Submission(100, "i")))
-                .status,
-            202);
+  ASSERT_EQ(Submit(gateway, "j1", 100, "i").status, 202);
   const auto running = [&] {
     return engines()[0]->running() + engines()[1]->running();
   };
@@ -311,11 +283,7 @@
   // A later job goes through the same worker; by its end any item of the ended
   // job that was still to run would have run.
   const std::size_t begun = Runs("i-");
-  ASSERT_EQ(client()
-                .Call(gateway.front,
-                      Request("POST", "/lots/j2", "j2", Submission(8, "k")))
-                .status,
-            202);
+  ASSERT_EQ(Submit(gateway, "j2", 8, "k").status, 202);
   EXPECT_TRUE(AllListed(gateway, "j2", 8)) << Log("w1");
   EXPECT_EQ(Runs("i-"), begun);
 }
@@ -327,11 +295,7 @@
   StartWorker("w2", gateway);
   for (int job = 0; job < 4; ++job) {
     const std::string id = "j" + std::to_string(job);
-    ASSERT_EQ(client()
-                  .Call(gateway.front,
-                        Request("POST", "/lots/" + id, id, Submission(10, id)))
-                  .status,
-              202);
+    ASSERT_EQ(Submit(gateway, id, 10, id).status, 202);
   }
   store().Put("retirements", "w1", boost::json::object{{"period-s", 10}});
   EXPECT_TRUE(Eventually([&] {
@@ -345,6 +309,26 @@
   }
 }
 
+// Guards against a request or item whose server nobody can tell afterwards,
+// also when the process that sent it was killed.
+TEST_F(platform_fixture, EachPlacementIsLoggedWithTheLoadsThatDecidedIt) {
+  const host gateway = StartGateway("g1");
+  StartWorker("w1", gateway);
+  ASSERT_TRUE(client()
+                  .Stream(gateway.front, Request("POST", "/draft/1", "r1", "x"))
+                  .whole);
+  ASSERT_EQ(Submit(gateway, "j1", 2, "i").status, 202);
+  ASSERT_TRUE(AllListed(gateway, "j1", 2)) << Log("w1");
+  EXPECT_TRUE(Logged("g1", "A request goes to a server.", "\"request\":\"r1\""))
+      << Log("g1");
+  EXPECT_TRUE(Logged("g1", "A request goes to a server.", "\"load_age_ms\""));
+  EXPECT_TRUE(
+      Logged("w1", "A batch item goes to a server.", "\"item\":\"i-1\""))
+      << Log("w1");
+  EXPECT_TRUE(
+      Logged("w1", "A run of a batch item ended.", "\"ending\":\"completed\""));
+}
+
 // Guards against a metrics address that serves nothing, or no histograms.
 TEST_F(platform_fixture, MetricsAreServedOnTheirOwnPort) {
   const host_address metrics = *harness::ReserveAddress();
