Bound the store calls of many workers and let early results share writes

All workers together now fetch about twelve times a second, and a result waits up to 600 ms for others while its job is not due soon. Ruled out: sharing one worker's view of the jobs, which delays the end of a job by one more hop. Tests: StoreDelay.*, ChangesPause.*

--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -11,8 +11,6 @@
 
 namespace {
 
-// Results that finish within this time share one write to the store.
-constexpr std::chrono::milliseconds kFlushDelay{150};
 constexpr std::chrono::milliseconds kFirstRetry{80};
 constexpr std::chrono::milliseconds kMostRetry{1000};
 constexpr std::size_t kLoadPageBytes = 4U << 20U;
@@ -177,6 +175,7 @@
                      age)
           : LimitsOf({}, age);
 
+  job.due = limits.due;
   for (std::size_t i = 0; i < job.input->items.size(); ++i) {
     const job_item& item = job.input->items[i];
     if (!job.settled.contains(item.id)) {
@@ -441,9 +440,12 @@
 
 asio::awaitable<void> job_runner::Flush(std::string id) {
   backoff delay(kFirstRetry, kMostRetry, Hash64(id));
-  co_await SleepFor(kFlushDelay);
   while (true) {
     owned_job* job = Find(id);
+    if (job != nullptr && !job->fresh.empty()) {
+      co_await SleepFor(StoreDelay(job->due, host_->time().Now()));
+      job = Find(id);
+    }
     if (job == nullptr) {
       co_return;
     }
--- a/packages/gateway/src/gateway/job_runner.h
+++ b/packages/gateway/src/gateway/job_runner.h
@@ -22,6 +22,7 @@
 struct owned_job {
   stored_job stored;
   time_point first_seen;  ///< When this worker first saw it in the store.
+  time_point due;         ///< When its results are due.
   std::shared_ptr<const job_input> input;
   stored_results results;
   /// All stored results by position.
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -22,8 +22,6 @@
 // The end of a job must reach its owner within about three seconds also when
 // a watch lost its events.
 constexpr std::chrono::milliseconds kJobWatchWait{1500};
-// Each worker sees the changes of all jobs; those of this time share a call.
-constexpr std::chrono::milliseconds kJobWatchPause{250};
 constexpr std::chrono::milliseconds kTakeoverPeriod{700};
 // A job without an owner is taken by the worker that ranks first for it.
 constexpr std::chrono::milliseconds kCollectPeriod{10'000};
@@ -85,7 +83,7 @@
              }
            });
     job_follower_->SetWait(kJobWatchWait);
-    job_follower_->SetPause(kJobWatchPause);
+    job_follower_->SetPause(ChangesPause(1));
     asio::co_spawn(host_->traffic(), KeepLease(), kEndOnException);
     asio::co_spawn(host_->traffic(), Tick(), kEndOnException);
     asio::co_spawn(host_->traffic(), TakeOver(), kEndOnException);
@@ -189,6 +187,10 @@
   asio::awaitable<void> TakeOver() {
     while (true) {
       co_await SleepFor(kTakeoverPeriod);
+      job_follower_->SetPause(ChangesPause(
+          1 + host_->peers()
+                  .LivePeers(host_role::worker, host_->time().Now())
+                  .size()));
       std::map<std::string, std::vector<std::string>> jobs_of;
       for (const auto& [id, job] : known_) {
         if (!job.record.finished &&
--- a/packages/jobs/src/jobs/item_queue.cc
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -20,8 +20,35 @@
   return bound.count() > 0 ? bound : kDefaultBound;
 }
 
+constexpr std::chrono::milliseconds kLeastStoreDelay{100};
+constexpr std::chrono::milliseconds kMostStoreDelay{600};
+// Part of the time until the results are due.
+constexpr int kStoreShare = 20;
+// Callers of late results still want them; several share a write.
+constexpr std::chrono::milliseconds kLateStoreDelay{300};
+// Three workers call four times a second each, more of them together twelve
+// times.
+constexpr std::chrono::milliseconds kPausePerWorker{83};
+constexpr std::chrono::milliseconds kLeastChangesPause{250};
+// The end of a job must stop its items within three seconds.
+constexpr std::chrono::milliseconds kMostChangesPause{1000};
+
 }  // namespace
 
+std::chrono::milliseconds StoreDelay(time_point due, time_point now) {
+  if (now >= due) {
+    return kLateStoreDelay;
+  }
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(due - now);
+  return std::clamp(left / kStoreShare, kLeastStoreDelay, kMostStoreDelay);
+}
+
+std::chrono::milliseconds ChangesPause(std::size_t workers) {
+  return std::clamp(kPausePerWorker * static_cast<int>(workers),
+                    kLeastChangesPause, kMostChangesPause);
+}
+
 item_limits LimitsOf(const route_bounds& bounds, const job_age& age) {
   const time_point submitted =
       std::min<time_point>(age.first_seen, age.now - age.by_wall_time);
--- a/packages/jobs/src/jobs/item_queue.h
+++ b/packages/jobs/src/jobs/item_queue.h
@@ -2,6 +2,7 @@
 #define CARDAMOMYARD_JOBS_ITEM_QUEUE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -45,6 +46,21 @@
 /// this worker has seen pass, which is never too early.
 item_limits LimitsOf(const route_bounds& bounds, const job_age& age);
 
+/// \brief How long a finished result waits for others of its job.
+///
+/// The load this answers: many jobs whose items finish one after the other,
+/// each of them a call to a store that all hosts share. Results that are due
+/// soon are stored soon; those of early items wait, and a loss of the worker
+/// meanwhile costs one more run of them.
+std::chrono::milliseconds StoreDelay(time_point due, time_point now);
+
+/// \brief How long a worker waits between two calls for changes of jobs.
+///
+/// Every worker receives the changes of all jobs, so the calls of all workers
+/// together would grow with jobs times workers. With this pause they stay below
+/// a bounded number a second until the pause reaches its limit.
+std::chrono::milliseconds ChangesPause(std::size_t workers);
+
 /// How a run of an item ended.
 enum class item_ending {
   completed,
--- a/packages/jobs/test/item_queue_test.cc
+++ b/packages/jobs/test/item_queue_test.cc
@@ -93,5 +93,30 @@
   EXPECT_GT(LimitsOf({}, {now, seen, {}}).expires, now + std::chrono::hours(1));
 }
 
+// Guards against a result that is listed after it was due because it waited
+// for others, and against a store call for each item of an early job.
+TEST(StoreDelay, ResultsThatAreDueSoonAreStoredSoon) {
+  const time_point due{std::chrono::hours(5)};
+  EXPECT_EQ(StoreDelay(due, due - std::chrono::seconds(18)),
+            std::chrono::milliseconds(600));
+  EXPECT_LE(StoreDelay(due, due - std::chrono::seconds(2)),
+            std::chrono::milliseconds(100));
+  for (int left = 100; left < 18'000; left += 100) {
+    EXPECT_LE(StoreDelay(due, due - std::chrono::milliseconds(left)),
+              std::chrono::milliseconds(left));
+  }
+}
+
+// Guards against calls to the store that grow with the number of workers, and
+// against the end of a job that reaches its owner too late.
+TEST(ChangesPause, CallsOfAllWorkersAreBounded) {
+  for (std::size_t workers = 1; workers <= 12; ++workers) {
+    const double calls = 1000.0 * static_cast<double>(workers) /
+                         static_cast<double>(ChangesPause(workers).count());
+    EXPECT_LE(calls, 12.1) << workers;
+  }
+  EXPECT_LE(ChangesPause(300), std::chrono::seconds(1));
+}
+
 }  // namespace
 }  // namespace cardamomyard
