Empty the last worker only when another can take its jobs

The status 'completed' removes the machine at once, so the last worker must not report it. Ruled out: items run by gateways, which have less processor and clients' load.

--- a/packages/fleet/include/cardamomyard/fleet.h
+++ b/packages/fleet/include/cardamomyard/fleet.h
@@ -10,6 +10,7 @@
 #include "src/fleet/backend_pool.h"
 #include "src/fleet/batch_placement.h"
 #include "src/fleet/crash_record.h"
+#include "src/fleet/evacuation.h"
 #include "src/fleet/online_placement.h"
 #include "src/fleet/peer_table.h"
 #include "src/fleet/service_map.h"
--- /dev/null
+++ b/packages/fleet/src/fleet/evacuation.cc
@@ -0,0 +1,15 @@
+#include "src/fleet/evacuation.h"
+
+#include <algorithm>
+
+namespace cardamomyard {
+
+bool MayEvacuate(const std::string& self,
+                 const std::set<std::string>& live,
+                 const std::set<std::string>& to_leave) {
+  return std::any_of(live.begin(), live.end(), [&](const std::string& other) {
+    return other != self && (!to_leave.contains(other) || other > self);
+  });
+}
+
+}  // namespace cardamomyard
--- a/packages/fleet/test/peer_table_test.cc
+++ b/packages/fleet/test/peer_table_test.cc
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-const time_point kStart{std::chrono::hours(1)};
+constexpr time_point kStart{std::chrono::hours(1)};
 
 class peer_table_test : public ::testing::Test {
  protected:
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <future>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -23,6 +24,8 @@
 // a watch lost its events.
 constexpr std::chrono::milliseconds kJobWatchWait{1500};
 constexpr std::chrono::milliseconds kTakeoverPeriod{700};
+// Another worker is noticed by its digest, at least each 250 ms.
+constexpr std::chrono::milliseconds kEvacuationPoll{250};
 // A job without an owner is taken by the worker that ranks first for it.
 constexpr std::chrono::milliseconds kCollectPeriod{10'000};
 // Beyond the time for which results must stay readable.
@@ -78,7 +81,12 @@
            });
     Follow(host_->codec().evacuation_kind(), evacuation_follower_,
            [this](const store_record& record, bool removed) {
-             if (!removed && record.name == host_->settings().name) {
+             if (removed) {
+               to_leave_.erase(record.name);
+               return;
+             }
+             to_leave_.insert(record.name);
+             if (record.name == host_->settings().name) {
                StartEvacuation();
              }
            });
@@ -119,6 +127,9 @@
         if (kind == job_store::kJobKind && !listed_revision_) {
           listed_revision_ = snapshot.revision;
         }
+        if (kind == host_->codec().evacuation_kind()) {
+          to_leave_.clear();
+        }
         for (const store_record& record : snapshot.records) {
           take(record, false);
         }
@@ -342,13 +353,34 @@
       return;
     }
     evacuating_ = true;
-    log_.Info("The host is to be evacuated.",
-              {{"host", host_->settings().name}});
+    log_.Info("The host is to be evacuated.");
     asio::co_spawn(host_->traffic(), Evacuate(), kEndOnException);
   }
 
+  bool OthersTakeOver() const {
+    std::set<std::string> live;
+    for (const peer_state* peer :
+         host_->peers().LivePeers(host_role::worker, host_->time().Now())) {
+      live.insert(peer->host.name);
+    }
+    return MayEvacuate(host_->settings().name, live, to_leave_);
+  }
+
   asio::awaitable<void> Evacuate() {
     co_await ReportEvacuation(false);
+    bool told = false;
+    while (!OthersTakeOver()) {
+      if (!std::exchange(told, true)) {
+        log_.Warning("The evacuation waits: no other worker can take the jobs.",
+                     {{"to_leave", to_leave_.size()}});
+      }
+      co_await SleepFor(kEvacuationPoll);
+      if (!to_leave_.contains(host_->settings().name)) {
+        log_.Info("The evacuation is called off.");
+        evacuating_ = false;
+        co_return;
+      }
+    }
     co_await HandOver();
     co_await ReportEvacuation(true);
     log_.Info("The host is evacuated.");
@@ -379,6 +411,8 @@
   std::optional<std::uint64_t> listed_revision_;
   part_log log_{"worker"};
   bool evacuating_ = false;
+  /// Hosts that the operator wants emptied.
+  std::set<std::string> to_leave_;
 };
 
 }  // namespace
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <fstream>
+#include <stdexcept>
 #include <thread>
 #include <utility>
 
@@ -21,9 +22,10 @@
 
 std::filesystem::path NewFolder() {
   static std::atomic<int> count{0};
-  const auto folder = std::filesystem::temp_directory_path() /
-                      ("cardamomyard-platform-" + std::to_string(::getpid()) +
-                       "-" + std::to_string(++count));
+  std::filesystem::path folder =
+      std::filesystem::temp_directory_path() /
+      ("cardamomyard-platform-" + std::to_string(::getpid()) + "-" +
+       std::to_string(++count));
   std::filesystem::create_directories(folder);
   return folder;
 }
@@ -136,7 +138,11 @@
   command.arguments = {role, "--settings", file};
   command.arguments.insert(command.arguments.end(), flags.begin(), flags.end());
   command.log_file = (folder_ / (name + ".log")).string();
-  processes_.push_back(std::move(child_process::Start(command).value()));
+  auto started = child_process::Start(command);
+  if (!started) {
+    throw std::runtime_error(started.error().message());
+  }
+  processes_.push_back(std::move(*started));
   made.process = processes_.back().get();
   return made;
 }
--- a/test/platform_path_test.cc
+++ b/test/platform_path_test.cc
@@ -309,6 +309,25 @@
   }
 }
 
+// Guards against accepted jobs that stay unfinished because the last worker was
+// removed.
+TEST_F(platform_fixture, LastWorkerIsEvacuatedOnlyWhenAnotherComes) {
+  const host gateway = StartGateway("g1");
+  StartWorker("w1", gateway);
+  store().Put("retirements", "w1", boost::json::object{{"period-s", 5}});
+  ASSERT_TRUE(Eventually([&] {
+    return Logged("w1", "The evacuation waits", "");
+  })) << Log("w1");
+  ASSERT_EQ(Submit(gateway, "j1", 6, "i").status, 202);
+  EXPECT_TRUE(AllListed(gateway, "j1", 6)) << Log("w1");
+  StartWorker("w2", gateway);
+  EXPECT_TRUE(Eventually([&] {
+    const auto status = store().Status("retirements", "w1");
+    return status.is_object() &&
+           status.as_object().at("state").as_string() == "completed";
+  })) << Log("w1");
+}
+
 // Guards against a request or item whose server nobody can tell afterwards,
 // also when the process that sent it was killed.
 TEST_F(platform_fixture, EachPlacementIsLoggedWithTheLoadsThatDecidedIt) {
