--- a/packages/gateway/src/gateway/gossip.h
+++ b/packages/gateway/src/gateway/gossip.h
@@ -55,7 +55,6 @@
   boost::asio::awaitable<void> Send();
   void SendNow();
   void SendTo(const host_address& address, const std::string& bytes);
-  /// \returns the shortest time between two digests: more peers, fewer digests.
 
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer wake_;
