Fence a batch job's results when a worker takes the job over

The append was conditional on the revision of the results only, which a takeover did not change. A worker that loads a job others may have run now writes the results again as it read them, so that the earlier owner's next write is a conflict and it drops the job. Test: Rule01_EarlierOwnerCannotStoreAfterATakeover (with a plain read instead of the fence the late write succeeds).

--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -103,7 +103,7 @@
     // Not one conditional expression: g++ 12 destroys its operands twice.
     result<stored_results> results = stored_results{};
     if (!held->is_new) {
-      results = co_await host_->jobs().ReadResults(job);
+      results = co_await host_->jobs().FenceResults(job);
     }
     std::vector<job_item_result> listed;
     error cause = error::Make(error_kind::store_unavailable, "");
--- a/packages/jobs/src/jobs/job_store.cc
+++ b/packages/jobs/src/jobs/job_store.cc
@@ -186,6 +186,15 @@
   co_return stored_results{std::move(*results), (*read)->revision};
 }
 
+boost::asio::awaitable<result<stored_results>> job_store::FenceResults(
+    std::string job) {
+  auto held = co_await ReadResults(job);
+  if (!held) {
+    co_return Fail(held.error());
+  }
+  co_return co_await Append(std::move(job), std::move(*held), {});
+}
+
 boost::asio::awaitable<result<std::vector<job_item_result>>>
 job_store::ReadFrom(std::string job,
                     const job_results& results,
--- a/packages/jobs/src/jobs/job_store.h
+++ b/packages/jobs/src/jobs/job_store.h
@@ -55,6 +55,13 @@
                                            time_point deadline);
   boost::asio::awaitable<result<job_input>> ReadInput(fleet_job record);
   boost::asio::awaitable<result<stored_results>> ReadResults(std::string job);
+  /// \brief Reads the results for a worker that takes a job over and writes
+  /// them again, so that the earlier owner's next Append() is a conflict.
+  ///
+  /// An owner that was cut off stores what it has finished when it is back.
+  /// \returns the results as they stand, or `conflict` when the earlier owner
+  /// wrote in between.
+  boost::asio::awaitable<result<stored_results>> FenceResults(std::string job);
   /// \returns the results from position \p after on; at least one if one
   /// exists, and about \p max_bytes at most.
   boost::asio::awaitable<result<std::vector<job_item_result>>> ReadFrom(
--- a/packages/jobs/test/job_store_test.cc
+++ b/packages/jobs/test/job_store_test.cc
@@ -120,6 +120,27 @@
   EXPECT_EQ((*stored)->record.total, 2);
 }
 
+// Guards against results of an owner that was cut off, stored after another
+// worker has loaded the job: they were read by callers and missing later.
+TEST_F(job_store_test, Rule01_EarlierOwnerCannotStoreAfterATakeover) {
+  for (const bool had_results : {false, true}) {
+    const std::string job = had_results ? "j" : "k";
+    stored_results earlier;
+    if (had_results) {
+      earlier = *Await(jobs_.Append(job, earlier, {{"item-0", true, "a"}}));
+    }
+    const auto taken = Await(jobs_.FenceResults(job));
+    ASSERT_TRUE(taken) << taken.error().message();
+    EXPECT_EQ(taken->results.count(), had_results ? 1 : 0);
+    const auto late =
+        Await(jobs_.Append(job, earlier, {{"item-1", true, "b"}}));
+    ASSERT_FALSE(late);
+    EXPECT_EQ(late.error().kind(), error_kind::conflict);
+    EXPECT_EQ(Await(jobs_.ReadResults(job))->results, taken->results);
+    EXPECT_TRUE(Await(jobs_.Append(job, *taken, {{"item-1", true, "c"}})));
+  }
+}
+
 // Guards against results that two workers list at the same position: whatever
 // answers are lost and whoever writes, a position never changes.
 RC_GTEST_PROP(JobStore, Rule01_PositionsNeverChange, (std::uint64_t seed)) {
