Raise a fencing token when a worker takes a job's results over

The results now hold a token that each takeover raises. The stand-in stores keep the revision of an unchanged value as well; with them and without the token Rule01_EarlierOwnerCannotStoreAfterATakeover fails. Ruled out: a takeover without the write, as the lease is checked before a write and may lapse during it.

--- a/packages/jobs/src/jobs/fleet_job.cc
+++ b/packages/jobs/src/jobs/fleet_job.cc
@@ -169,7 +169,8 @@
 std::string EncodeResults(const job_results& results) {
   return json::serialize(json::object{
       {"sealed", json::array(results.sealed.begin(), results.sealed.end())},
-      {"open", ToJson(results.open)}});
+      {"open", ToJson(results.open)},
+      {"fence", results.fence}});
 }
 
 result<job_results> DecodeResults(const std::string& value) {
@@ -180,6 +181,7 @@
       results.sealed.push_back(count.to_number<std::int64_t>());
     }
     results.open = ResultsFromJson(fields.at("open"));
+    results.fence = Number(fields, "fence");
     return results;
   });
 }
--- a/packages/jobs/src/jobs/fleet_job.h
+++ b/packages/jobs/src/jobs/fleet_job.h
@@ -62,6 +62,9 @@
 struct job_results {
   std::vector<std::int64_t> sealed;  ///< Number of results of each sealed page.
   std::vector<job_item_result> open;
+  /// Fencing token: grows when another worker takes the job over. The store
+  /// gives a new revision only to a changed value.
+  std::int64_t fence = 0;
 
   std::int64_t sealed_count() const;
   std::int64_t count() const {
--- a/packages/jobs/src/jobs/job_store.cc
+++ b/packages/jobs/src/jobs/job_store.cc
@@ -192,6 +192,7 @@
   if (!held) {
     co_return Fail(held.error());
   }
+  ++held->results.fence;
   co_return co_await Append(std::move(job), std::move(*held), {});
 }
 
--- a/packages/jobs/src/jobs/job_store.h
+++ b/packages/jobs/src/jobs/job_store.h
@@ -55,8 +55,9 @@
                                            time_point deadline);
   boost::asio::awaitable<result<job_input>> ReadInput(fleet_job record);
   boost::asio::awaitable<result<stored_results>> ReadResults(std::string job);
-  /// \brief Reads the results for a worker that takes a job over and writes
-  /// them again, so that the earlier owner's next Append() is a conflict.
+  /// \brief Reads the results for a worker that takes a job over and raises
+  /// their fencing token, so that the earlier owner's next Append() is a
+  /// conflict.
   ///
   /// An owner that was cut off stores what it has finished when it is back.
   /// \returns the results as they stand, or `conflict` when the earlier owner
--- a/standins/memory/memory_store.h
+++ b/standins/memory/memory_store.h
@@ -174,7 +174,10 @@
     if (expected && found->second.revision != *expected) {
       return Fail(error_kind::conflict, "another revision");
     }
-    Put(kind, name, value);
+    // A write that changes nothing keeps the revision.
+    if (found == records.end() || found->second.value != value) {
+      Put(kind, name, value);
+    }
     if (after == fault::lost_after) {
       return Fail(error::Make(error_kind::store_unavailable, "no answer")
                       .WithOutcome(outcome::may_have_run));
--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -142,8 +142,13 @@
       expected->to_number<std::uint64_t>() != held.revision) {
     return JsonResponse(409, json::serialize(ToJson(name, held)));
   }
-  (status ? held.status : held.spec) = sent.at(status ? "status" : "spec");
-  Change(kind, name, false);
+  json::value& part = status ? held.status : held.spec;
+  const json::value& next = sent.at(status ? "status" : "spec");
+  // A write that changes nothing keeps the revision.
+  if (held.revision == 0 || part != next) {
+    part = next;
+    Change(kind, name, false);
+  }
   return JsonResponse(200, json::serialize(ToJson(name, objects[name])));
 }
 
