Bound what a server in trouble can send, and end stalled answers

Cause: each byte renewed the limit on silence, so a body or a batch item at a server that sends a byte or a comment now and then never ended. An event without end took memory without limit. A stray answer's body was read without limit, and the wait for the head was no longer limited after it. An interim answer (1xx) was taken for the final one. A second attempt on a new connection that failed to connect said that the request had not run, although it may have run on the kept connection. Events that repeat earlier ids after a resume were passed on. Change: reads have a limit from the last event, without the time that the caller takes; events, texts of items, stray and interim answers are bounded; the outcome of the first attempt is kept; ids of events must grow.

--- a/packages/gateway/src/gateway/active_item.cc
+++ b/packages/gateway/src/gateway/active_item.cc
@@ -14,6 +14,8 @@
 // prompt again.
 constexpr std::chrono::milliseconds kEventTimeout{1500};
 constexpr std::size_t kMaxErrorBodyBytes = 1U << 20U;
+// Callers read results in answers of at most 1 MB.
+constexpr std::size_t kMaxTextBytes = 1U << 20U;
 constexpr int kUnprocessableStatus = 422;
 
 }  // namespace
@@ -44,6 +46,7 @@
   options.connect_timeout = kConnectTimeout;
   options.head_timeout = kHeadTimeout;
   options.idle_timeout = kEventTimeout;
+  options.body_timeout = kEventTimeout;
   options.reuse_connection = true;
   options.canceller = run->canceller;
   const std::function<bool(const header_list&)> is_answer =
@@ -82,7 +85,13 @@
     }
     co_return run_result;
   }
+  const item_run_result before = run_result;
+  const auto break_off = [&](const std::string& reason) {
+    (*call)->Cancel();
+    mark_interrupted(error::Make(error_kind::backend_failed, reason));
+  };
   event_reader reader;
+  time_point last_progress = host.time().Now();
   while (true) {
     if (run->stopped) {
       (*call)->Cancel();
@@ -91,6 +100,8 @@
     }
     // By itself the canceller covers only the wait for the response head.
     options.canceller->SetConnection([&call] { (*call)->Cancel(); });
+    // Bytes that complete no event are no progress.
+    (*call)->LimitReads(last_progress + kEventTimeout - host.time().Now());
     result<std::string> chunk = co_await (*call)->ReadSome();
     options.canceller->SetConnection(nullptr);
     if (!chunk) {
@@ -104,12 +115,23 @@
       if (!event.id) {
         continue;
       }
+      if (run_result.any_event && *event.id <= run_result.last_event) {
+        break_off("an event repeats an earlier id");
+        co_return run_result;
+      }
       if (run_result.any_event) {
         run_result.text += '\n';
       }
       run_result.text += event.data;
       run_result.last_event = *event.id;
       run_result.any_event = true;
+      last_progress = host.time().Now();
+    }
+    if (reader.too_large() || run_result.text.size() > kMaxTextBytes) {
+      // Its text is dropped, as no end of it would ever be reached.
+      run_result = before;
+      break_off("the answer has no end");
+      co_return run_result;
     }
   }
   if (!reader.at_boundary()) {
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -30,6 +30,8 @@
 // A request is refused when a server cannot be reached and this many have been
 // tried.
 constexpr std::size_t kMaxTriedServers = 5;
+// A server sends the whole of a refusal at once.
+constexpr std::chrono::milliseconds kRefusalBodyTimeout{200};
 // The response must leave this host before the deadline.
 constexpr std::chrono::milliseconds kDeadlineMargin{20};
 
@@ -42,6 +44,15 @@
       static_cast<std::int64_t>(static_cast<double>(time.count()) * share));
 }
 
+/// \returns whether an event may follow those that the caller has. A server
+/// that starts from the beginning when it was asked to resume would otherwise
+/// repeat events.
+bool Continues(const request_state& request, std::int64_t event) {
+  const auto& last =
+      request.last_event ? request.last_event : request.caller.last_event;
+  return !last || event > *last;
+}
+
 /// Counts a request in its server's load during the lifetime of this object.
 class load_scope {
  public:
@@ -174,21 +185,18 @@
                    Scale(request.route->latency_objective, kHeadTimeoutShare)));
 }
 
-std::chrono::milliseconds request_handler::EventTimeout(
-    const request_state& request) const {
-  const auto remaining =
-      std::max(std::chrono::milliseconds(1),
-               ToMilliseconds(request.deadline - host_->time().Now()));
+time_point request_handler::EventDeadline(const request_state& request,
+                                          time_point last_event) const {
   const bool can_move = request.route->repeatable() &&
                         request.attempts < request.route->max_attempts;
   if (!can_move) {
-    return remaining;
+    return request.deadline;
   }
   // No longer limit is needed for the first event, as it arrives with the head.
   const auto limit =
       std::max(kMinEventTimeout,
                Scale(request.route->pause_objective, kEventTimeoutShare));
-  return std::min(remaining, limit);
+  return std::min<time_point>(request.deadline, last_event + limit);
 }
 
 asio::awaitable<request_handler::next_step> request_handler::Attempt(
@@ -285,6 +293,8 @@
       host_->codec().ParseResponseHead(call.status(), call.headers());
   if (!head.executed) {
     // Read to the end, so that the connection can be reused.
+    call.LimitReads(std::min<duration>(request.deadline - host_->time().Now(),
+                                       kRefusalBodyTimeout));
     const auto rest = co_await call.ReadAll(kMaxBufferedResponseBytes);
     if (head.misdirected || !rest) {
       host_->pool().RecordFailure(backend.id, host_->time().Now());
@@ -326,7 +336,7 @@
         error::Make(error_kind::backend_failed,
                     "status " + std::to_string(head.status)));
   }
-  call.SetIdleTimeout(ToMilliseconds(request.deadline - host_->time().Now()));
+  call.LimitReads(request.deadline - host_->time().Now());
   co_return co_await RelayBuffered(request, backend, call);
 }
 
@@ -359,12 +369,20 @@
   event_reader reader;
   error cause =
       error::Make(error_kind::backend_failed, "the stream ended early");
+  // Bytes that complete no event, and comments, are no progress: a stalled
+  // server may send them for ever.
+  time_point last_progress = host_->time().Now();
   while (true) {
-    if (host_->time().Now() >= request.deadline) {
-      cause = error::Make(error_kind::timeout, "the deadline has passed");
+    const time_point deadline = EventDeadline(request, last_progress);
+    const time_point now = host_->time().Now();
+    if (now >= deadline) {
+      cause = error::Make(error_kind::timeout,
+                          deadline == request.deadline
+                              ? "the deadline has passed"
+                              : "the stream makes no progress");
       break;
     }
-    call.SetIdleTimeout(EventTimeout(request));
+    call.LimitReads(deadline - now);
     result<std::string> chunk = co_await call.ReadSome();
     if (request.caller_left) {
       request.outcome_label = "caller_left";
@@ -380,11 +398,18 @@
       break;
     }
     std::string events;
-    for (stream_event& event : reader.Feed(*chunk)) {
+    bool out_of_order = false;
+    bool progressed = false;
+    for (const stream_event& event : reader.Feed(*chunk)) {
+      out_of_order = event.id && !Continues(request, *event.id);
+      if (out_of_order) {
+        break;
+      }
       events += event.raw;
       if (event.id) {
         request.last_event = event.id;
       }
+      progressed |= IsProgress(event);
     }
     if (!request.head_sent && (ended || !events.empty())) {
       const result<void> started = co_await request.exchange->StartStream(
@@ -406,6 +431,16 @@
       request.exchange->Abort();
       co_return next_step::finished;
     }
+    if (progressed) {
+      // After the write, as a slow caller is not the server's fault.
+      last_progress = host_->time().Now();
+    }
+    if (out_of_order || reader.too_large()) {
+      cause = error::Make(error_kind::backend_failed,
+                          out_of_order ? "an event repeats an earlier id"
+                                       : "an event has no end");
+      break;
+    }
     if (ended) {
       host_->pool().RecordSuccess(backend.id);
       crashes_.RecordCompletion(request.fingerprint);
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -55,8 +55,10 @@
   std::chrono::milliseconds HeadTimeout(
       const request_state& request,
       std::chrono::milliseconds expected_wait) const;
-  /// \returns the time limit for the next event of a stream.
-  std::chrono::milliseconds EventTimeout(const request_state& request) const;
+  /// \returns when a stream whose last event arrived at \p last_event is
+  /// taken for stalled.
+  time_point EventDeadline(const request_state& request,
+                           time_point last_event) const;
   void LogOutcome(const request_state& request);
 
   host_runtime* host_;
--- a/packages/net/src/net/event_reader.cc
+++ b/packages/net/src/net/event_reader.cc
@@ -1,5 +1,6 @@
 #include "src/net/event_reader.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cardamomyard {
@@ -44,26 +45,48 @@
   return event;
 }
 
+// Bytes before the last of "\n\r\n", which may lie in an earlier piece.
+constexpr std::size_t kEndOverlap = 2;
+
 /// \returns the length of the first event with its blank line, or 0.
-std::size_t FirstEventLength(std::string_view bytes) {
-  const std::size_t plain = bytes.find("\n\n");
-  const std::size_t returns = bytes.find("\n\r\n");
-  if (plain == std::string_view::npos && returns == std::string_view::npos) {
-    return 0;
+/// \param from  no event ends before this position.
+std::size_t FirstEventLength(std::string_view bytes, std::size_t from) {
+  for (std::size_t at = bytes.find('\n', from); at != std::string_view::npos;
+       at = bytes.find('\n', at + 1)) {
+    const std::string_view rest = bytes.substr(at + 1);
+    if (rest.starts_with('\n')) {
+      return at + 2;
+    }
+    if (rest.starts_with("\r\n")) {
+      return at + 3;
+    }
   }
-  return plain < returns ? plain + 2 : returns + 3;
+  return 0;
 }
 
 }  // namespace
 
+bool IsProgress(const stream_event& event) {
+  return event.id || !event.data.empty();
+}
+
 std::vector<stream_event> event_reader::Feed(std::string_view bytes) {
-  pending_ += bytes;
   std::vector<stream_event> events;
-  while (const std::size_t length = FirstEventLength(pending_)) {
+  if (too_large_) {
+    return events;
+  }
+  pending_ += bytes;
+  while (const std::size_t length = FirstEventLength(pending_, searched_)) {
     events.push_back(Parse(pending_.substr(0, length)));
     pending_.erase(0, length);
+    searched_ = 0;
     done_ = done_ || events.back().data == kStreamEnd;
   }
+  searched_ = pending_.size() - std::min(pending_.size(), kEndOverlap);
+  if (pending_.size() > kMaxEventBytes) {
+    too_large_ = true;
+    pending_ = std::string();
+  }
   return events;
 }
 
--- a/packages/net/src/net/event_reader.h
+++ b/packages/net/src/net/event_reader.h
@@ -20,25 +20,40 @@
   friend bool operator==(const stream_event&, const stream_event&) = default;
 };
 
+/// \returns whether an event carries more than a comment, which a stalled
+/// server may repeat without end.
+bool IsProgress(const stream_event& event);
+
 /// \brief Cuts a stream of server-sent events into whole events.
 ///
 /// A server may break off in the middle of an event; the part that has arrived
 /// then stays in the reader and reaches nobody.
 class event_reader {
  public:
+  /// Bounds the memory that a server takes with bytes that never end an event.
+  static constexpr std::size_t kMaxEventBytes = 1U << 20U;
+
   /// \param bytes  the next piece of the stream, cut anywhere.
-  /// \returns the events that this piece completes.
+  /// \returns the events that this piece completes; none after an event has
+  /// exceeded kMaxEventBytes.
   std::vector<stream_event> Feed(std::string_view bytes);
 
+  /// \returns whether an event exceeded kMaxEventBytes; the stream is then not
+  /// usable any more.
+  bool too_large() const { return too_large_; }
+
   /// \returns whether the closing event of a chat stream was seen.
   bool done() const { return done_; }
 
   /// \returns whether the stream stands between two events.
-  bool at_boundary() const { return pending_.empty(); }
+  bool at_boundary() const { return pending_.empty() && !too_large_; }
 
  private:
   std::string pending_;
+  /// Bytes of \ref pending_ that contain no end of an event.
+  std::size_t searched_ = 0;
   bool done_ = false;
+  bool too_large_ = false;
 };
 
 }  // namespace cardamomyard
--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -47,8 +47,13 @@
 constexpr std::chrono::milliseconds kSilenceLimit{2500};
 constexpr int kProbeSeconds = 1;
 constexpr int kProbeCount = 2;
-// Messages that belong to no request are skipped this often at most.
+// Messages that belong to no request are skipped this often at most, each up to
+// this size.
 constexpr int kMaxStrayAnswers = 3;
+constexpr std::size_t kMaxStrayBytes = 1U << 20U;
+// Answers such as 100 (Continue) precede the final one.
+constexpr int kMaxInterimAnswers = 16;
+constexpr int kFirstFinalStatus = 200;
 constexpr auto kUseResult = asio::as_tuple(asio::use_awaitable);
 
 using plain_stream = beast::tcp_stream;
@@ -193,13 +198,12 @@
   connection_ptr ReleaseConnection() { return std::move(link_); }
 
   /// Reads to the end of the message and keeps the connection here.
-  asio::awaitable<result<void>> Skip() {
+  asio::awaitable<result<void>> Skip(time_point deadline) {
     options_.reuse_connection = false;
-    while (!parser_->is_done()) {
-      result<std::string> piece = co_await ReadSome();
-      if (!piece) {
-        co_return Fail(piece.error());
-      }
+    read_deadline_ = deadline;
+    result<std::string> skipped = co_await ReadAll(kMaxStrayBytes);
+    if (!skipped) {
+      co_return Fail(skipped.error());
     }
     co_return result<void>();
   }
@@ -214,11 +218,14 @@
     }
     std::array<char, kReadChunkBytes> piece;
     std::size_t got = 0;
+    // Not renewed in the loop: the bytes of a chunk header are no progress.
+    link_->lowest().expires_at(std::min<time_point>(
+        std::chrono::steady_clock::now() + options_.idle_timeout,
+        read_deadline_));
     // A chunk header alone may be consumed without any body byte.
     while (got == 0 && !parser_->is_done()) {
       parser_->get().body().data = piece.data();
       parser_->get().body().size = piece.size();
-      link_->lowest().expires_after(options_.idle_timeout);
       auto [code, bytes] = co_await std::visit(
           [this](auto& stream) {
             return http::async_read_some(stream, link_->buffer, *parser_,
@@ -238,6 +245,9 @@
   }
 
   asio::awaitable<result<std::string>> ReadAll(std::size_t limit) override {
+    read_deadline_ =
+        std::min<time_point>(read_deadline_, std::chrono::steady_clock::now() +
+                                                 options_.body_timeout);
     std::string body;
     while (true) {
       result<std::string> piece = co_await ReadSome();
@@ -257,8 +267,8 @@
     }
   }
 
-  void SetIdleTimeout(std::chrono::milliseconds timeout) override {
-    options_.idle_timeout = timeout;
+  void LimitReads(duration left) override {
+    read_deadline_ = std::chrono::steady_clock::now() + left;
   }
 
   void Cancel() override {
@@ -278,6 +288,7 @@
   connection_ptr link_;
   std::unique_ptr<parser_type> parser_;
   call_options options_;
+  time_point read_deadline_ = time_point::max();
   std::shared_ptr<connection_pool> pool_;
   connection_pool::key where_;
   header_list headers_;
@@ -330,23 +341,33 @@
           error::Make(error_kind::cancelled, "the call was cancelled")
               .WithOutcome(outcome::not_run));
     }
+    const time_point head_deadline =
+        std::chrono::steady_clock::now() + options.head_timeout;
+    // Failures of the second attempt keep the outcome of the first.
+    outcome ran = outcome::not_run;
     if (options.reuse_connection) {
       if (connection_ptr kept = pool->Take(where)) {
         auto answer = co_await Exchange(std::move(kept), server, request,
-                                        options, pool, where);
+                                        options, head_deadline, pool, where);
         // The server may have closed the kept connection in the meantime.
         if (answer || !options.resend_on_stale ||
             answer.error().kind() == error_kind::timeout) {
           co_return answer;
         }
+        ran = answer.error().ran();
       }
     }
     result<connection_ptr> link = co_await Connect(server, options, tls);
     if (!link) {
-      co_return Fail(link.error());
+      co_return Fail(ran == outcome::not_run ? link.error()
+                                             : link.error().WithOutcome(ran));
+    }
+    auto answer = co_await Exchange(std::move(*link), server, request, options,
+                                    head_deadline, pool, where);
+    if (!answer && ran != outcome::not_run) {
+      co_return Fail(answer.error().WithOutcome(ran));
     }
-    co_return co_await Exchange(std::move(*link), server, request, options,
-                                pool, where);
+    co_return answer;
   }
 
   asio::awaitable<result<http_response>> Fetch(host_address server,
@@ -405,7 +426,8 @@
       connection_ptr link,
       const host_address& server,
       const http_request& request,
-      const call_options& options,
+      call_options options,
+      time_point head_deadline,
       const std::shared_ptr<connection_pool>& pool,
       const connection_pool::key& where) {
     http::request<http::string_body> message;
@@ -427,7 +449,7 @@
               .WithOutcome(outcome::not_run));
     }
     const canceller_scope cancelling(options.canceller.get(), *link);
-    link->lowest().expires_after(options.head_timeout);
+    link->lowest().expires_at(head_deadline);
     auto [write_code, written] = co_await std::visit(
         [&message](auto& stream) {
           return http::async_write(stream, message, kUseResult);
@@ -437,27 +459,39 @@
       co_return Fail(CallFailure(write_code, "sending to " + server.ToString(),
                                  outcome::may_have_run));
     }
-    for (int stray = 0; stray <= kMaxStrayAnswers; ++stray) {
+    int stray = 0;
+    int interim = 0;
+    while (stray <= kMaxStrayAnswers && interim <= kMaxInterimAnswers) {
       auto call = co_await ReadHead(link, server, options, pool, where);
       if (!call) {
         co_return Fail(call.error());
       }
-      if (options.is_answer == nullptr ||
-          (*options.is_answer)((*call)->headers())) {
+      const bool is_interim = (*call)->status() < kFirstFinalStatus;
+      if (!is_interim && (options.is_answer == nullptr ||
+                          (*options.is_answer)((*call)->headers()))) {
         (*call)->TakeConnection(std::move(link));
         co_return std::move(*call);
       }
+      if (is_interim) {
+        ++interim;
+      } else {
+        ++stray;
+        // The server is out of step, so the connection is not kept afterwards.
+        options.reuse_connection = false;
+      }
       // Its connection stays with this function; only the body is skipped.
       (*call)->TakeConnection(std::move(link));
-      result<void> skipped = co_await (*call)->Skip();
+      result<void> skipped = co_await (*call)->Skip(head_deadline);
       if (!skipped) {
         co_return Fail(skipped.error());
       }
       link = (*call)->ReleaseConnection();
+      link->lowest().expires_at(head_deadline);
     }
-    co_return Fail(error::Make(error_kind::backend_failed,
-                               server.ToString() + " sent only stray answers")
-                       .WithOutcome(outcome::may_have_run));
+    co_return Fail(
+        error::Make(error_kind::backend_failed,
+                    server.ToString() + " sent no answer to the request")
+            .WithOutcome(outcome::may_have_run));
   }
 
   /// Reads the head of the next message. The call gets its connection by
--- a/packages/net/src/net/http_client.h
+++ b/packages/net/src/net/http_client.h
@@ -46,6 +46,9 @@
   std::chrono::milliseconds head_timeout{30'000};
   /// Between two pieces of the answer's body.
   std::chrono::milliseconds idle_timeout{30'000};
+  /// From the head to the end of a body that ReadAll() reads. A server that
+  /// sends a byte now and then would never exceed the idle timeout.
+  std::chrono::milliseconds body_timeout{600'000};
   /// Takes a kept connection when one is idle, and keeps it afterwards.
   bool reuse_connection = false;
   /// A kept connection may turn out closed. True sends the request a second
@@ -78,8 +81,9 @@
   /// Reads the rest of the body, at most \p limit bytes.
   virtual boost::asio::awaitable<result<std::string>> ReadAll(
       std::size_t limit) = 0;
-  /// Replaces call_options::idle_timeout for the reads that follow.
-  virtual void SetIdleTimeout(std::chrono::milliseconds timeout) = 0;
+  /// Lets the reads that follow end with `timeout` when \p left has passed from
+  /// now, whatever the server sends. It replaces an earlier limit.
+  virtual void LimitReads(duration left) = 0;
   /// Closes the connection, so that a waiting read ends with an error. Call it
   /// on the thread of the io_context that opened the call.
   virtual void Cancel() = 0;
@@ -89,7 +93,8 @@
 /// connection is used again only on the io_context that opened it.
 ///
 /// Errors say whether the request was sent: `not_run` when no byte was written,
-/// `may_have_run` afterwards.
+/// `may_have_run` afterwards, also when a second attempt on a new connection
+/// fails to connect.
 class http_client {
  public:
   /// \param tls  set for TLS to every server; its CA file is required.
--- a/packages/net/test/event_reader_test.cc
+++ b/packages/net/test/event_reader_test.cc
@@ -1,5 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
 #include "cardamomyard/net.h"
 
 namespace cardamomyard {
@@ -42,5 +47,47 @@
   EXPECT_TRUE(reader.done());
 }
 
+// The end of an event may be split over pieces at each of its bytes.
+TEST(EventReader, FindsEndsThatAreSplitOverPieces) {
+  for (const std::string end : {"\n\n", "\r\n\r\n"}) {
+    const std::string stream = "id: 1\ndata: one" + end + "data: two" + end;
+    event_reader reader;
+    std::vector<stream_event> events;
+    for (const char byte : stream) {
+      for (stream_event& event : reader.Feed(std::string_view(&byte, 1))) {
+        events.push_back(std::move(event));
+      }
+    }
+    ASSERT_EQ(events.size(), 2U);
+    EXPECT_EQ(events[0].data, "one");
+    EXPECT_EQ(events[1].data, "two");
+    EXPECT_TRUE(reader.at_boundary());
+  }
+}
+
+// A server in trouble sends bytes without end that complete no event.
+TEST(EventReader, BoundsAnEventWithoutEnd) {
+  const std::string piece(64 * 1024, 'x');
+  event_reader reader;
+  for (std::size_t fed = 0; fed <= event_reader::kMaxEventBytes;
+       fed += piece.size()) {
+    EXPECT_FALSE(reader.too_large());
+    EXPECT_TRUE(reader.Feed(piece).empty());
+  }
+  EXPECT_TRUE(reader.too_large());
+  EXPECT_FALSE(reader.at_boundary());
+  EXPECT_TRUE(reader.Feed("\n\ndata: late\n\n").empty());
+}
+
+// A stalled server repeats comments; they are events, but no progress.
+TEST(EventReader, CommentsAreNoProgress) {
+  event_reader reader;
+  const auto events = reader.Feed(": wait\n\nid: 1\n\ndata: x\n\n");
+  ASSERT_EQ(events.size(), 3U);
+  EXPECT_FALSE(IsProgress(events[0]));
+  EXPECT_TRUE(IsProgress(events[1]));
+  EXPECT_TRUE(IsProgress(events[2]));
+}
+
 }  // namespace
 }  // namespace cardamomyard
--- a/packages/node/src/node/answer_relay.cc
+++ b/packages/node/src/node/answer_relay.cc
@@ -1,9 +1,11 @@
 #include "src/node/answer_relay.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "cardamomyard/telemetry.h"
 #include "src/node/internal_api.h"
@@ -113,6 +115,7 @@
                                           check_state& state) {
   relay_report report;
   event_reader events;
+  from.LimitReads(options.event_timeout);
   result<std::string> piece = co_await from.ReadSome();
   if (!piece && !state.failure) {
     report.failure = piece.error();
@@ -128,11 +131,20 @@
     if (state.failure) {
       break;
     }
-    events.Feed(*piece);
+    const std::vector<stream_event> complete = events.Feed(*piece);
+    const bool progressed =
+        std::any_of(complete.begin(), complete.end(), IsProgress);
+    if (events.too_large()) {
+      break;
+    }
     if (options.observe) {
       options.observe(*piece);
     }
     sent = co_await to.Write(std::move(*piece));
+    if (progressed) {
+      // After the write, as a slow caller is not the server's fault.
+      from.LimitReads(options.event_timeout);
+    }
     if (sent) {
       piece = co_await from.ReadSome();
     }
@@ -146,6 +158,9 @@
     report.failure = state.failure;
   } else if (!piece) {
     report.failure = piece.error();
+  } else if (events.too_large()) {
+    report.failure =
+        error::Make(error_kind::backend_failed, "an event has no end");
   } else if (!events.done()) {
     report.failure = error::Make(error_kind::backend_failed,
                                  "the event stream ended before [DONE]");
--- a/packages/node/src/node/answer_relay.h
+++ b/packages/node/src/node/answer_relay.h
@@ -15,6 +15,9 @@
   std::string request_id;
   /// Echoed to an entry host; empty when the answer goes to a caller.
   std::string exchange_id;
+  /// Longest time without an event of a stream. Comments and bytes that
+  /// complete no event do not count.
+  std::chrono::milliseconds event_timeout{600'000};
   /// Called for every piece of a stream and at least every half second. An
   /// error ends the stream with an error event and cancels the request at the
   /// server.
--- a/packages/node/src/node/entry/forwarder.cc
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -155,6 +155,7 @@
   // The sidecar answers at its deadline; the margin lets that answer arrive.
   options.head_timeout = budget + std::chrono::milliseconds(500);
   options.idle_timeout = options.head_timeout;
+  options.body_timeout = options.head_timeout;
   auto opened = co_await context_->internal_http().Open(
       *address, std::move(forwarded), options);
   if (!opened) {
@@ -181,6 +182,7 @@
   } else {
     relay_options relay;
     relay.request_id = request.request_id;
+    relay.event_timeout = options.idle_timeout;
     relay.check = request.check;
     relay.observe = request.observe;
     if (request.capture) {
--- a/packages/node/src/node/sidecar/item_runner.cc
+++ b/packages/node/src/node/sidecar/item_runner.cc
@@ -113,6 +113,7 @@
   options.connect_timeout = kConnectTimeout;
   options.head_timeout = run->timeout;
   options.idle_timeout = run->timeout;
+  options.body_timeout = run->timeout;
   auto opened = co_await parts_->http->Open(parts_->settings->backend,
                                             std::move(request), options);
   if (!opened) {
@@ -156,6 +157,7 @@
     std::shared_ptr<item_run> run,
     http_call& call) {
   event_reader events;
+  call.LimitReads(run->timeout);
   while (true) {
     result<std::string> received = co_await call.ReadSome();
     if (!received) {
@@ -167,12 +169,18 @@
     }
     const bool id_known = !run->progress.stream_id().empty();
     for (const stream_event& event : events.Feed(*received)) {
+      if (IsProgress(event)) {
+        call.LimitReads(run->timeout);
+      }
       if (event.data != kStreamEnd && !run->progress.Feed(event.data)) {
         co_return error::Make(
             error_kind::backend_failed,
             "the stream holds an event that is not an answer");
       }
     }
+    if (events.too_large()) {
+      co_return error::Make(error_kind::backend_failed, "an event has no end");
+    }
     if (received->empty()) {
       break;
     }
--- a/packages/node/src/node/sidecar/online_handler.cc
+++ b/packages/node/src/node/sidecar/online_handler.cc
@@ -141,6 +141,7 @@
   options.connect_timeout = kBackendConnectTimeout;
   options.head_timeout = call.budget;
   options.idle_timeout = call.budget;
+  options.body_timeout = call.budget;
   http_request to_backend = BackendRequest(call.request);
   auto opened = co_await context_->http().Open(settings_->backend,
                                                std::move(to_backend), options);
@@ -154,6 +155,7 @@
     relay_options relay;
     relay.request_id = call.request_id_text;
     relay.exchange_id = call.exchange_id;
+    relay.event_timeout = call.budget;
     relay_report report =
         co_await RelayAnswer(**opened, exchange, std::move(relay));
     failure = report.failure;
--- /dev/null
+++ b/test/server_trouble_test.cc
@@ -0,0 +1,239 @@
+// Gateways and workers beside backend servers in trouble.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "platform_fixture.h"
+#include "raw/raw_server.h"
+
+namespace cardamomyard {
+namespace {
+
+using standins::HeaderOf;
+using standins::platform_engine;
+using standins::raw_peer;
+using standins::raw_server;
+
+// The caller's time budget and half a second.
+constexpr milliseconds kAnsweredWithin{5500};
+// An idle gateway takes 13 MB, the smallest machines have 160 MB.
+constexpr std::size_t kMaxProcessMegabytes = 60;
+
+std::string StreamHead(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+         "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Chunk(const std::string& bytes) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  return size.data() + bytes + "\r\n";
+}
+
+std::string EventChunk(int number) {
+  return Chunk("id: " + std::to_string(number) +
+               "\ndata: " + platform_engine::Event(number) + "\n\n");
+}
+
+/// \returns the largest memory that a process has taken so far.
+std::size_t PeakMegabytes(const child_process& process) {
+  std::ifstream file("/proc/" + std::to_string(process.pid()) + "/status");
+  for (std::string word; file >> word;) {
+    if (word == "VmHWM:") {
+      std::size_t kilobytes = 0;
+      file >> kilobytes;
+      return kilobytes / 1024;
+    }
+  }
+  return 0;
+}
+
+class server_trouble : public platform_fixture {
+ protected:
+  /// Registers a server that answers each request as \p answer does, and makes
+  /// it the only one.
+  void ServeOnly(std::function<void(raw_peer&, const std::string&)> answer) {
+    trouble_ = std::make_unique<raw_server>(
+        [this, answer = std::move(answer)](raw_peer& peer) {
+          for (std::string head = peer.ReadRequest(); !head.empty();
+               head = peer.ReadRequest()) {
+            ++asked_;
+            answer(peer, HeaderOf(head, "Request-Id"));
+          }
+        });
+    RegisterEngine("trouble", trouble_->address(), "ready");
+    SetSoundServers("draining");
+  }
+
+  void SetSoundServers(const std::string& state) {
+    for (int i = 0; i < 2; ++i) {
+      RegisterEngine("engine-" + std::to_string(i), engine_address(i), state);
+    }
+  }
+
+  /// Calls the gateway and expects that it answers or breaks off in time and
+  /// stays within its memory.
+  harness::stream_answer CallInTime(const host& gateway,
+                                    const std::string& path) {
+    const auto began = std::chrono::steady_clock::now();
+    auto answer =
+        client().Stream(gateway.front, Request("POST", path, "r1", "hello"));
+    EXPECT_LT(std::chrono::steady_clock::now() - began, kAnsweredWithin);
+    EXPECT_LT(PeakMegabytes(*gateway.process), kMaxProcessMegabytes);
+    return answer;
+  }
+
+  std::atomic<int> asked_{0};
+  std::unique_ptr<raw_server> trouble_;
+};
+
+TEST_F(server_trouble, EndlessEventIsBrokenOffAndTakesBoundedMemory) {
+  ServeOnly([](raw_peer& peer, const std::string& id) {
+    peer.Send(StreamHead(id) + EventChunk(1));
+    peer.SendWithoutEnd(Chunk(std::string(60'000, 'x')));
+  });
+  const host gateway = StartGateway("g1");
+  const auto answer = CallInTime(gateway, "/draft/1");
+  EXPECT_FALSE(answer.whole);
+}
+
+TEST_F(server_trouble, EndlessErrorBodyIsAnsweredInTimeWithBoundedMemory) {
+  ServeOnly([](raw_peer& peer, const std::string& id) {
+    peer.Send("HTTP/1.1 400 Bad Request\r\nRequest-Id: " + id + "\r\n\r\n");
+    peer.SendWithoutEnd("x", milliseconds(10));
+  });
+  const host gateway = StartGateway("g1");
+  const auto answer = CallInTime(gateway, "/draft/1");
+  EXPECT_GE(answer.status, 500);
+}
+
+TEST_F(server_trouble, EndlessHeadIsAnsweredAsFailed) {
+  ServeOnly([](raw_peer& peer, const std::string&) {
+    peer.Send("HTTP/1.1 200 OK\r\nX: ");
+    peer.SendWithoutEnd("value");
+  });
+  const host gateway = StartGateway("g1");
+  const auto answer = CallInTime(gateway, "/draft/1");
+  EXPECT_EQ(answer.status, 502);
+}
+
+// A server that sends a comment now and then is silent for the caller.
+TEST_F(server_trouble, StreamThatStallsWithCommentsGoesOnAtASoundServer) {
+  ServeOnly([this](raw_peer& peer, const std::string& id) {
+    SetSoundServers("ready");
+    peer.Send(StreamHead(id) + EventChunk(1));
+    peer.SendWithoutEnd(Chunk(": wait\n\n"), milliseconds(30));
+  });
+  const host gateway = StartGateway("g1");
+  const auto answer = CallInTime(gateway, "/ask/1");
+  EXPECT_TRUE(answer.whole) << answer.failure << Log("g1");
+  EXPECT_NE(answer.body.find(platform_engine::Event(platform_engine::kEvents)),
+            std::string::npos);
+}
+
+// A server that was asked to resume sends the stream from its beginning.
+TEST_F(server_trouble, Rule08_RepeatedEventsDoNotReachTheCaller) {
+  ServeOnly([this](raw_peer& peer, const std::string& id) {
+    peer.Send(StreamHead(id) + EventChunk(1) + EventChunk(2));
+    if (asked_ > 1) {
+      SetSoundServers("ready");
+    }
+    peer.Reset();
+  });
+  const host gateway = StartGateway("g1");
+  const auto answer = CallInTime(gateway, "/ask/1");
+  const std::string first = "id: 1\n";
+  const std::size_t at = answer.body.find(first);
+  EXPECT_NE(at, std::string::npos);
+  EXPECT_EQ(answer.body.find(first, at + 1), std::string::npos) << answer.body;
+}
+
+TEST_F(server_trouble, SlowButSoundStreamEndsWhole) {
+  constexpr int kEvents = 12;
+  ServeOnly([](raw_peer& peer, const std::string& id) {
+    peer.Send(StreamHead(id));
+    for (int i = 1; i <= kEvents; ++i) {
+      // Just below the longest pause that the route allows.
+      std::this_thread::sleep_for(milliseconds(240));
+      peer.Send(EventChunk(i));
+    }
+    peer.Send("0\r\n\r\n");
+  });
+  const host gateway = StartGateway("g1");
+  const auto answer = CallInTime(gateway, "/draft/1");
+  EXPECT_TRUE(answer.whole) << answer.failure << Log("g1");
+  EXPECT_EQ(asked_, 1);
+}
+
+TEST_F(server_trouble, BatchItemLeavesAServerThatStallsWithComments) {
+  ServeOnly([this](raw_peer& peer, const std::string& id) {
+    SetSoundServers("ready");
+    peer.Send(StreamHead(id) + EventChunk(1));
+    peer.SendWithoutEnd(Chunk(": wait\n\n"), milliseconds(30));
+  });
+  const host gateway = StartGateway("g1");
+  const host worker = StartWorker("w1", gateway);
+  ASSERT_EQ(Submit(gateway, "j1", 2, "i").status, 202);
+  EXPECT_TRUE(AllListed(gateway, "j1", 2)) << Log("w1");
+}
+
+TEST_F(server_trouble, EndlessTextOfABatchItemTakesBoundedMemory) {
+  std::atomic<bool> closed{false};
+  ServeOnly([&](raw_peer& peer, const std::string& id) {
+    peer.Send(StreamHead(id));
+    const std::string data(60'000, 'x');
+    int number = 1;
+    while (peer.Send(
+        Chunk("id: " + std::to_string(number) + "\ndata: " + data + "\n\n"))) {
+      ++number;
+    }
+    closed = true;
+  });
+  const host gateway = StartGateway("g1");
+  const host worker = StartWorker("w1", gateway);
+  ASSERT_EQ(Submit(gateway, "j1", 2, "i").status, 202);
+  ASSERT_TRUE(Eventually([&] { return closed.load(); })) << Log("w1");
+  SetSoundServers("ready");
+  RegisterEngine("trouble", trouble_->address(), "draining");
+  EXPECT_TRUE(AllListed(gateway, "j1", 2)) << Log("w1");
+  EXPECT_LT(PeakMegabytes(*worker.process), kMaxProcessMegabytes);
+  const auto results = Results(gateway, "j1");
+  for (const auto& value : results.at("results").as_array()) {
+    const auto& entry = value.as_object();
+    if (entry.at("state").as_string() == "completed") {
+      EXPECT_EQ(std::string(entry.at("text").as_string()), WholeText());
+    }
+  }
+}
+
+// An answer whose stream ends at an event, but not as a message, is not whole.
+TEST_F(server_trouble, Rule08_ItemWhoseAnswerBreaksOffIsNotCompletedWithIt) {
+  ServeOnly([this](raw_peer& peer, const std::string& id) {
+    peer.Send(StreamHead(id) + EventChunk(1) + EventChunk(2));
+    SetSoundServers("ready");
+    peer.Shut();
+  });
+  const host gateway = StartGateway("g1");
+  StartWorker("w1", gateway);
+  ASSERT_EQ(Submit(gateway, "j1", 3, "i").status, 202);
+  ASSERT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
+  const auto results = Results(gateway, "j1");
+  for (const auto& value : results.at("results").as_array()) {
+    const auto& entry = value.as_object();
+    if (entry.at("state").as_string() == "completed") {
+      EXPECT_EQ(std::string(entry.at("text").as_string()), WholeText());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cardamomyard
