Answer requests that are on their way when a planned stop begins

Cause: draining closed connections whose first request had not arrived or whose head was half read; closing the port reset connections that the system had established already; a request pipelined behind an answer that had promised a kept connection was dropped; closing with unread bytes reset the connection and could destroy the answer; and the process ended when no request was active, whatever was still on its way. Change: such requests are answered within a second and with Connection: close, established connections are accepted before the port closes, unread bytes are discarded for up to 0.5 s before the close, and a stop waits until the server is drained. Measured: on the old code draining_fixture failed in RequestWhoseHeadIsHalfRead, EstablishedConnection, RequestPipelined and SilentConnections. All pass now.

--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -88,7 +88,7 @@
     WaitUntil(stop_started + kBalancerRemovalDelay, [] { return false; });
     caller_server_->StartDraining();
     caller_server_->StopListening();
-    WaitUntil(end, [this] { return caller_server_->active_requests() == 0; });
+    WaitUntil(end, [this] { return caller_server_->drained(); });
     log_.Info("The gateway has stopped.",
               {{"cut_requests", caller_server_->active_requests()}});
   }
--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -36,11 +37,29 @@
 constexpr std::size_t kMaxBufferedBytes = 1024 * 1024;
 // Looking up a header takes time in proportion to their number.
 constexpr std::ptrdiff_t kMaxHeaders = 100;
+// While draining, a connection whose request is on its way gets this long.
+constexpr std::chrono::milliseconds kDrainingHeadTimeout{1000};
+// Closing a socket with unread bytes resets the connection, which may destroy
+// an answer that the caller has not read yet. Bytes are therefore discarded for
+// this time or until the caller closes.
+constexpr std::chrono::milliseconds kLingerTime{500};
+constexpr std::size_t kDiscardedBytesPerRead = 4096;
 constexpr auto kUseResult = asio::as_tuple(asio::use_awaitable);
 
 using plain_stream = beast::tcp_stream;
 using tls_stream = beast::ssl_stream<beast::tcp_stream>;
 
+/// A connection that waits for a request head.
+struct idle_connection {
+  /// Set when draining shuts the connection for reading.
+  std::shared_ptr<std::atomic<bool>> shut;
+  /// Whether a request is expected: the connection is new, or part of a head
+  /// has arrived.
+  std::shared_ptr<std::atomic<bool>> expects_request;
+  /// Whether its read is limited by kDrainingHeadTimeout.
+  bool has_draining_limit = false;
+};
+
 /// Counters and flags that connections share with their server.
 struct server_state {
   http_server_options options;
@@ -53,10 +72,10 @@
   std::atomic<bool> draining{false};
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> active{0};
+  std::atomic<bool> accepting{true};
   std::mutex idle_mutex;
-  // Connections between two requests, and whether draining has shut them for
-  // reading.
-  std::unordered_map<plain_stream*, std::shared_ptr<std::atomic<bool>>> idle;
+  /// Connections that wait for a request head.
+  std::unordered_map<plain_stream*, idle_connection> idle;
 };
 
 /// Registers a connection as idle while it waits for the next request.
@@ -64,10 +83,10 @@
  public:
   idle_scope(server_state& state,
              plain_stream& stream,
-             std::shared_ptr<std::atomic<bool>> shut)
+             idle_connection connection)
       : state_(&state), stream_(&stream) {
     const std::lock_guard lock(state_->idle_mutex);
-    state_->idle.emplace(stream_, std::move(shut));
+    state_->idle.emplace(stream_, std::move(connection));
   }
   ~idle_scope() {
     const std::lock_guard lock(state_->idle_mutex);
@@ -87,14 +106,40 @@
   explicit count_scope(std::atomic<std::size_t>& counter) : counter_(&counter) {
     ++*counter_;
   }
-  ~count_scope() { --*counter_; }
+  count_scope(count_scope&& other) noexcept
+      : counter_(std::exchange(other.counter_, nullptr)) {}
+  ~count_scope() {
+    if (counter_ != nullptr) {
+      --*counter_;
+    }
+  }
   count_scope(const count_scope&) = delete;
   count_scope& operator=(const count_scope&) = delete;
+  count_scope& operator=(count_scope&&) = delete;
 
  private:
   std::atomic<std::size_t>* counter_;
 };
 
+/// Shuts the idle connections that \p chosen selects for reading.
+template <class Predicate>
+void ShutIdleConnections(server_state& state, Predicate chosen) {
+  const std::lock_guard lock(state.idle_mutex);
+  for (const auto& [stream, connection] : state.idle) {
+    if (chosen(connection)) {
+      *connection.shut = true;
+      // shutdown() is safe from another thread; the waiting read then ends.
+      ::shutdown(stream->socket().native_handle(), SHUT_RD);
+    }
+  }
+}
+
+bool HasUnreadBytes(plain_stream& stream) {
+  char byte = 0;
+  return ::recv(stream.socket().native_handle(), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 template <class Stream>
 class exchange final : public http_exchange {
  public:
@@ -352,15 +397,31 @@
   plain_stream& lowest = beast::get_lowest_layer(stream);
   boost::system::error_code code;
   {
-    const idle_scope idle(state, lowest, shut);
-    if (state.draining && !first) {
+    const auto expects_request = std::make_shared<std::atomic<bool>>(
+        first || buffer.size() > 0 || HasUnreadBytes(lowest));
+    const bool draining = state.draining;
+    const idle_scope idle(state, lowest, {shut, expects_request, draining});
+    if (state.draining && !*expects_request) {
       co_return false;
     }
-    lowest.expires_after(first ? state.read_timeout.load()
-                               : state.idle_timeout.load());
+    std::chrono::milliseconds timeout =
+        first ? state.read_timeout.load() : state.idle_timeout.load();
+    if (draining) {
+      timeout = std::min(timeout, kDrainingHeadTimeout);
+    }
+    lowest.expires_after(timeout);
     std::size_t bytes = 0;
-    std::tie(code, bytes) =
-        co_await http::async_read_header(stream, buffer, parser, kUseResult);
+    if (buffer.size() == 0) {
+      std::tie(code, bytes) = co_await stream.async_read_some(
+          buffer.prepare(beast::read_size(buffer, kReadChunkBytes)),
+          kUseResult);
+      buffer.commit(bytes);
+      *expects_request = true;
+    }
+    if (!code) {
+      std::tie(code, bytes) =
+          co_await http::async_read_header(stream, buffer, parser, kUseResult);
+    }
   }
   if (code) {
     const bool parse_error =
@@ -397,7 +458,7 @@
         "");
     co_await current.Send(std::move(failure));
   }
-  co_return current.keep_alive() && !state.draining;
+  co_return current.keep_alive();
 }
 
 template <class Stream>
@@ -415,21 +476,31 @@
   }
 }
 
-void CloseGracefully(plain_stream& stream) {
-  boost::system::error_code ignored;
-  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+asio::awaitable<void> CloseGracefully(plain_stream& stream) {
+  if (!stream.socket().is_open()) {
+    co_return;
+  }
+  boost::system::error_code code;
+  stream.socket().shutdown(tcp::socket::shutdown_send, code);
+  stream.expires_after(kLingerTime);
+  std::array<char, kDiscardedBytesPerRead> discarded;
+  while (!code) {
+    std::size_t bytes = 0;
+    std::tie(code, bytes) =
+        co_await stream.async_read_some(asio::buffer(discarded), kUseResult);
+  }
   stream.close();
 }
 
 asio::awaitable<void> RunConnection(std::shared_ptr<server_state> state,
+                                    [[maybe_unused]] count_scope open,
                                     tcp::socket socket) {
-  const count_scope open(state->connections);
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   if (state->tls == nullptr) {
     plain_stream stream(std::move(socket));
     co_await ServeConnection(state, stream);
-    CloseGracefully(stream);
+    co_await CloseGracefully(stream);
     co_return;
   }
   tls_stream stream(plain_stream(std::move(socket)), *state->tls);
@@ -440,7 +511,7 @@
     co_return;
   }
   co_await ServeConnection(state, stream);
-  CloseGracefully(beast::get_lowest_layer(stream));
+  co_await CloseGracefully(beast::get_lowest_layer(stream));
 }
 
 class server_impl final : public http_server {
@@ -474,22 +545,57 @@
 
   void StartDraining() override {
     state_->draining = true;
-    const std::lock_guard lock(state_->idle_mutex);
-    for (const auto& [stream, shut] : state_->idle) {
-      *shut = true;
-      // shutdown() is safe from another thread; the waiting read then ends.
-      ::shutdown(stream->socket().native_handle(), SHUT_RD);
-    }
+    ShutIdleConnections(*state_, [](const idle_connection& connection) {
+      return !*connection.expects_request;
+    });
+    asio::co_spawn(acceptor_.get_executor(), EndDrainingHeads(state_),
+                   asio::detached);
   }
 
   void StopListening() override {
     asio::post(acceptor_.get_executor(), [this] {
-      boost::system::error_code ignored;
-      acceptor_.close(ignored);
+      boost::system::error_code code;
+      acceptor_.non_blocking(true, code);
+      // Closing the acceptor would reset connections that callers have
+      // established already.
+      while (!code) {
+        asio::io_context& context = threads_.Next();
+        tcp::socket socket = acceptor_.accept(context, code);
+        if (!code) {
+          Run(context, std::move(socket));
+        }
+      }
+      acceptor_.close(code);
+      state_->accepting = false;
     });
   }
 
+  bool drained() const override {
+    return !state_->accepting && state_->connections == 0;
+  }
+
  private:
+  /// Shuts connections that waited when draining started and have still not
+  /// received a whole head.
+  static asio::awaitable<void> EndDrainingHeads(
+      std::shared_ptr<server_state> state) {
+    co_await SleepFor(kDrainingHeadTimeout);
+    ShutIdleConnections(*state, [](const idle_connection& connection) {
+      return !connection.has_draining_limit;
+    });
+  }
+
+  void Run(asio::io_context& context, tcp::socket socket) {
+    if (state_->connections >= state_->options.max_connections) {
+      return;
+    }
+    // Counted before its coroutine runs, so that drained() includes it.
+    asio::co_spawn(context,
+                   RunConnection(state_, count_scope(state_->connections),
+                                 std::move(socket)),
+                   asio::detached);
+  }
+
   asio::awaitable<void> Accept() {
     while (acceptor_.is_open()) {
       asio::io_context& context = threads_.Next();
@@ -503,11 +609,7 @@
         co_await SleepFor(std::chrono::milliseconds(50));
         continue;
       }
-      if (state_->connections >= state_->options.max_connections) {
-        continue;
-      }
-      asio::co_spawn(context, RunConnection(state_, std::move(socket)),
-                     asio::detached);
+      Run(context, std::move(socket));
     }
   }
 
--- a/packages/net/src/net/http_server.h
+++ b/packages/net/src/net/http_server.h
@@ -94,10 +94,14 @@
                          std::chrono::milliseconds read_timeout,
                          std::chrono::milliseconds idle_timeout) = 0;
   /// Ends keep-alive: each answer from now on closes its connection, and idle
-  /// connections close. New connections are still accepted.
+  /// connections close, except that a request that is expected or has begun to
+  /// arrive gets some time. New connections are still accepted.
   virtual void StartDraining() = 0;
-  /// Stops accepting connections.
+  /// Stops accepting connections, after those that are already established.
   virtual void StopListening() = 0;
+  /// \returns whether no connection is accepted or open any more, so that the
+  /// process can end without cutting a request.
+  virtual bool drained() const = 0;
   virtual std::size_t open_connections() const = 0;
   virtual std::size_t active_requests() const = 0;
 };
--- a/packages/node/src/node/entry/entry.cc
+++ b/packages/node/src/node/entry/entry.cc
@@ -173,8 +173,7 @@
   callers_.server().StopListening();
   const time_point deadline =
       context_->time().Now() + settings_.common.drain_timeout;
-  while (callers_.server().active_requests() > 0 &&
-         context_->time().Now() < deadline) {
+  while (!callers_.server().drained() && context_->time().Now() < deadline) {
     std::this_thread::sleep_for(kDrainPoll);
   }
   auto flushed =
--- a/packages/node/src/node/sidecar/sidecar.cc
+++ b/packages/node/src/node/sidecar/sidecar.cc
@@ -155,6 +155,12 @@
          context_->time().Now() < deadline) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
+  // Requests that arrived meanwhile are refused as not run.
+  server_.server().StartDraining();
+  server_.server().StopListening();
+  while (!server_.server().drained() && context_->time().Now() < deadline) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
   kLog.Info("Sidecar stopped.",
             {{"cut_requests", server_.server().active_requests()}});
   context_->StopThreads();
