Leave the outcome of a relayed write open when its reply is garbled

Cause: a reply that could not be parsed was skipped, the write was repeated through the next peer, and in the end it was reported as not done. Change: a write whose reply cannot be parsed may have run; reads go on.

--- a/packages/gateway/src/gateway/relayed_store.cc
+++ b/packages/gateway/src/gateway/relayed_store.cc
@@ -149,10 +149,21 @@
       continue;
     }
     auto reply = Decode<store_reply>(response->body);
-    if (reply && !IsStoreUnavailable(*reply)) {
-      co_return std::move(*reply);
+    if (!reply) {
+      log_.Warning("The reply of a peer to a store call cannot be parsed.",
+                   {{"peer", peer.ToString()},
+                    {"status", response->status},
+                    {"reason", reply.error().message()}});
+      if (call.operation != store_operation::get) {
+        // The peer may have made the call, so no other may repeat it.
+        co_return MakeFailureReply(
+            error::Make(error_kind::store_unavailable, reply.error().message())
+                .WithOutcome(outcome::may_have_run));
+      }
+      continue;
     }
-    if (reply && reply->ran != ToString(outcome::not_run)) {
+    if (!IsStoreUnavailable(*reply) ||
+        reply->ran != ToString(outcome::not_run)) {
       co_return std::move(*reply);
     }
   }
@@ -205,8 +216,9 @@
 asio::awaitable<result<store_changes>> relayed_store::Watch(
     std::string kind,
     std::uint64_t revision,
-    std::chrono::milliseconds wait) {
-  return direct_->Watch(std::move(kind), revision, wait);
+    std::chrono::milliseconds wait,
+    read_freshness freshness) {
+  return direct_->Watch(std::move(kind), revision, wait, freshness);
 }
 
 asio::awaitable<result<store_record>> relayed_store::Create(std::string kind,
--- a/packages/gateway/test/store_faults_test.cc
+++ b/packages/gateway/test/store_faults_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <memory>
 #include <string>
 
@@ -103,6 +104,10 @@
           const auto call = Decode<store_call>(*body);
           http_response answer;
           answer.body = Encode(co_await peer_->Serve(*call));
+          ++relayed_calls_;
+          if (garbling_) {
+            answer.body = "garbled";
+          }
           co_await exchange.Send(std::move(answer));
         });
     server_ = std::move(*server);
@@ -124,6 +129,8 @@
   std::unique_ptr<relayed_store> store_;
   memory_store* own_store_ = nullptr;
   memory_store* peer_store_ = nullptr;
+  std::atomic<bool> garbling_{false};
+  std::atomic<int> relayed_calls_{0};
   std::unique_ptr<http_server> server_;
 };
 
@@ -155,6 +162,20 @@
   EXPECT_TRUE(peer_store_->records.empty());
 }
 
+// A write whose relay answered with bytes that cannot be parsed was repeated
+// through the next peer and then reported as not done.
+TEST_F(relay_fixture, Rule09_GarbledReplyToARelayedWriteLeavesItsOutcomeOpen) {
+  own_store_->faults = [](std::string_view, const std::string&) {
+    return memory_store::fault::refused;
+  };
+  store_->SetPeers({server_->address(), server_->address()});
+  garbling_ = true;
+  const auto created = RunHere(store_->Create("kind", "name", "value"));
+  ASSERT_FALSE(created);
+  EXPECT_EQ(created.error().ran(), outcome::may_have_run);
+  EXPECT_EQ(relayed_calls_, 1);
+}
+
 TEST_F(relay_fixture, StoreThatRefusesAllHostsIsReportedAsUnavailable) {
   for (memory_store* store : {own_store_, peer_store_}) {
     store->faults = [](std::string_view, const std::string&) {
