Give each reader of a batch job a wait of its own

Cause: readers of one job waited on a shared timer; each new wait ended the others, which then waited anew without pause and took the worker's processor.

--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -56,7 +56,7 @@
     created->first_seen = first_seen;
     created->is_new = is_new;
     created->results_changed =
-        std::make_unique<asio::steady_timer>(host_->traffic());
+        std::make_unique<change_signal>(host_->traffic());
     jobs_[id] = std::move(created);
     asio::co_spawn(host_->traffic(), Load(id), kEndOnException);
     return;
@@ -481,7 +481,7 @@
                  {"items", job->stored.record.total},
                  {"revision", job->results.revision}});
       delay.Reset();
-      job->results_changed->cancel();
+      job->results_changed->Notify();
       continue;
     }
     log_.Warning("Results of a batch job cannot be stored yet.",
@@ -531,7 +531,7 @@
                 {{"job", id},
                  {"listed", job->persisted.size()},
                  {"ended", job->stored.record.cancelled ? "yes" : "no"}});
-      job->results_changed->cancel();
+      job->results_changed->Notify();
       co_return;
     }
     if (written.error().kind() == error_kind::conflict) {
--- a/packages/gateway/src/gateway/job_runner.h
+++ b/packages/gateway/src/gateway/job_runner.h
@@ -2,7 +2,6 @@
 #define CARDAMOMYARD_GATEWAY_JOB_RUNNER_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <set>
@@ -14,6 +13,7 @@
 #include "cardamomyard/jobs.h"
 #include "cardamomyard/wire.h"
 #include "src/gateway/active_item.h"
+#include "src/gateway/change_signal.h"
 #include "src/gateway/host_runtime.h"
 
 namespace cardamomyard {
@@ -33,8 +33,8 @@
   bool is_new = false;  ///< No results can be stored yet, so none are read.
   bool loaded = false;
   bool flushing = false;
-  /// Cancelled when results are stored, to wake readers that wait for them.
-  std::unique_ptr<boost::asio::steady_timer> results_changed;
+  /// Notified when results are stored.
+  std::unique_ptr<change_signal> results_changed;
 };
 
 /// \brief Runs the items of the jobs that this worker owns and stores their
