--- a/packages/fleet/include/cardamomyard/fleet.h
+++ b/packages/fleet/include/cardamomyard/fleet.h
@@ -11,6 +11,7 @@
 #include "src/fleet/batch_placement.h"
 #include "src/fleet/crash_record.h"
 #include "src/fleet/evacuation.h"
+#include "src/fleet/newest_peer.h"
 #include "src/fleet/online_placement.h"
 #include "src/fleet/peer_table.h"
 #include "src/fleet/service_map.h"
