--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds kCatchUpPeriod{300};
 // A watch whose events were lost in the store shows this only when its wait
 // ends. A few hosts use short waits, and the other hosts get the changes from
-// them.
+// them; their own watches may therefore be late and cost the store less.
 constexpr std::size_t kShortWatchHosts = 2;
 constexpr std::chrono::milliseconds kShortWatchWait{900};
 constexpr std::chrono::milliseconds kLongWatchWait{8000};
@@ -223,6 +223,7 @@
   host_follower_ = std::make_unique<object_follower>(*store_, clock_, kHostKind,
                                                      std::move(events));
   host_follower_->SetPause(kHostWatchPause);
+  host_follower_->SetFreshness(read_freshness::may_be_stale);
   asio::co_spawn(control(), host_follower_->Run(), kEndOnException);
 }
 
@@ -251,29 +252,24 @@
 }
 
 asio::awaitable<void> host_runtime::RunCatchUpLoop() {
-  std::size_t turn = 0;
+  std::string failed_peer;
   while (true) {
     co_await SleepFor(kCatchUpPeriod);
-    const auto own_configuration = static_cast<std::int64_t>(
-        current_inventory().configuration()
-            ? current_inventory().configuration()->revision()
-            : 0);
-    const auto own_backends =
-        static_cast<std::int64_t>(current_inventory().backend_revision());
-    std::vector<const peer_state*> candidates;
-    for (const auto& [name, peer] : peers_.peers()) {
-      const bool newer =
-          peer.digest.configuration_revision > own_configuration ||
-          peer.digest.backend_revision > own_backends;
-      if (newer && peers_.IsLive(peer, clock_.Now())) {
-        candidates.push_back(&peer);
-      }
+    inventory_revisions own;
+    if (current_inventory().configuration()) {
+      own.configuration = static_cast<std::int64_t>(
+          current_inventory().configuration()->revision());
     }
-    if (candidates.empty()) {
+    own.backends =
+        static_cast<std::int64_t>(current_inventory().backend_revision());
+    const peer_state* newest =
+        ChooseNewestPeer(peers_, own, failed_peer, clock_.Now());
+    if (newest == nullptr) {
       continue;
     }
-    const peer_state& peer = *candidates[turn++ % candidates.size()];
+    const peer_state& peer = *newest;
     const std::string name = peer.host.name;
+    failed_peer = name;
     call_options options;
     options.connect_timeout = kPeerTimeout;
     options.head_timeout = kPeerTimeout;
@@ -297,6 +293,7 @@
                    {{"peer", name}, {"reason", snapshot.error().message()}});
       continue;
     }
+    failed_peer.clear();
     current_inventory().Adopt(*snapshot, name);
   }
 }
@@ -306,8 +303,17 @@
     co_await SleepFor(kRefreshPeriod);
     pool_.SetBackends(current_inventory().backends().Usable(clock_.Now()));
     UpdateStorePeers();
-    current_inventory().SetWatchWait(UsesShortWatches() ? kShortWatchWait
-                                                        : kLongWatchWait);
+    if (UsesShortWatches()) {
+      current_inventory().SetWatch(kShortWatchWait,
+                                   read_freshness::linearizable);
+    } else {
+      // A host that may have to refuse keys without current information needs
+      // to know how old its own is.
+      current_inventory().SetWatch(kLongWatchWait,
+                                   settings_.bounds.key_revocation_bound
+                                       ? read_freshness::linearizable
+                                       : read_freshness::may_be_stale);
+    }
   }
 }
 
--- a/packages/gateway/src/gateway/internal_paths.h
+++ b/packages/gateway/src/gateway/internal_paths.h
@@ -9,6 +9,8 @@
 inline constexpr const char* kInventoryPath = "/internal/inventory";
 /// Takes a job_page_request and returns a job_page.
 inline constexpr const char* kJobPagePath = "/internal/job-page";
+/// Takes the id of a batch job, as text, whose record has changed in the store.
+inline constexpr const char* kJobChangedPath = "/internal/job-changed";
 /// Takes a store_call and returns a store_reply.
 inline constexpr const char* kStorePath = "/internal/store";
 /// Metrics in the text exposition format.
--- a/packages/gateway/src/gateway/inventory.cc
+++ b/packages/gateway/src/gateway/inventory.cc
@@ -125,9 +125,12 @@
   callbacks_.on_backends();
 }
 
-void inventory::SetWatchWait(std::chrono::milliseconds wait) {
+void inventory::SetWatch(std::chrono::milliseconds wait,
+                         read_freshness freshness) {
   configuration_follower_->SetWait(wait);
+  configuration_follower_->SetFreshness(freshness);
   backend_follower_->SetWait(wait);
+  backend_follower_->SetFreshness(freshness);
 }
 
 void inventory::RecordContact(bool in_contact) {
--- a/packages/gateway/src/gateway/inventory.h
+++ b/packages/gateway/src/gateway/inventory.h
@@ -53,8 +53,9 @@
   /// \returns the revision of the store up to which the list of backend servers
   /// is current.
   std::uint64_t backend_revision() const { return backend_revision_; }
-  /// Sets how long the store may hold a watch open without a change.
-  void SetWatchWait(std::chrono::milliseconds wait);
+  /// Sets how long the store may hold a watch open without a change, and
+  /// whether it may report changes late.
+  void SetWatch(std::chrono::milliseconds wait, read_freshness freshness);
 
   /// \returns the configuration and the backend servers, for a peer that cannot
   /// reach the store.
--- a/packages/gateway/src/gateway/job_frontend.cc
+++ b/packages/gateway/src/gateway/job_frontend.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/job_frontend.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
 #include <utility>
 
 #include "src/gateway/internal_paths.h"
@@ -70,6 +71,40 @@
   return top.empty() ? "" : top.front();
 }
 
+void job_frontend::NotifyOwner(const std::string& owner,
+                               const std::string& job) {
+  const peer_state* worker = host_->peers().Find(owner);
+  if (worker != nullptr &&
+      host_->peers().IsLive(*worker, host_->time().Now())) {
+    asio::co_spawn(host_->traffic(), SendNotice(worker->host.address, job),
+                   kEndOnException);
+  }
+}
+
+asio::awaitable<void> job_frontend::SendNotice(host_address worker,
+                                               std::string job) {
+  http_request request;
+  request.method = "POST";
+  request.target = kJobChangedPath;
+  request.body = job;
+  call_options options;
+  options.connect_timeout = kPeerConnectTimeout;
+  options.head_timeout = kPeerResponseTimeout;
+  options.idle_timeout = kPeerResponseTimeout;
+  options.reuse_connection = true;
+  const auto response =
+      co_await host_->http().Fetch(worker, std::move(request), options);
+  if (!response || response->status != 200) {
+    log_.Warning(
+        "The owner of a batch job was not told of a change; it learns of it "
+        "from the store.",
+        {{"job", job},
+         {"worker", worker.ToString()},
+         {"reason", response ? "status " + std::to_string(response->status)
+                             : response.error().message()}});
+  }
+}
+
 http_response job_frontend::Refuse(const error& cause,
                                    const inbound_request& caller,
                                    std::string_view job) const {
@@ -139,6 +174,7 @@
                        caller, record.id);
     }
     recent_jobs_[record.id].until = host_->time().Now() + kBacklogReportDelay;
+    NotifyOwner(record.owner, record.id);
   }
   log_.Info("A batch job is accepted.",
             {{"request", caller.id},
@@ -334,7 +370,7 @@
     const inbound_request& caller,
     cancel_job call,
     std::string account) {
-  const result<void> ended = co_await host_->jobs().Cancel(
+  const result<std::string> ended = co_await host_->jobs().Cancel(
       call.job, account, host_->time().Now() + kCancelTimeout);
   if (!ended) {
     // The job may have been cancelled nevertheless; the caller has to retry.
@@ -344,6 +380,7 @@
                          : error::Make(error_kind::timeout, cause.message()),
                      caller, call.job);
   }
+  NotifyOwner(*ended, call.job);
   log_.Info("A batch job is cancelled by its caller.",
             {{"request", caller.id}, {"job", call.job}, {"account", account}});
   co_return host_->codec().MakeJobCancelledResponse();
--- a/packages/gateway/src/gateway/job_frontend.h
+++ b/packages/gateway/src/gateway/job_frontend.h
@@ -64,6 +64,10 @@
                              const std::string& route);
   /// \returns the worker that owns a new job; empty when no worker is live.
   std::string ChooseOwner(const std::string& job) const;
+  /// Tells a worker that the record of a job that it owns has changed, so that
+  /// it need not wait for the changes from the store.
+  void NotifyOwner(const std::string& owner, const std::string& job);
+  boost::asio::awaitable<void> SendNotice(host_address worker, std::string job);
   http_response Refuse(const error& cause,
                        const inbound_request& caller,
                        std::string_view job) const;
--- a/packages/gateway/src/gateway/relayed_store.h
+++ b/packages/gateway/src/gateway/relayed_store.h
@@ -46,7 +46,8 @@
   boost::asio::awaitable<result<store_changes>> Watch(
       std::string kind,
       std::uint64_t revision,
-      std::chrono::milliseconds wait) override;
+      std::chrono::milliseconds wait,
+      read_freshness freshness) override;
   boost::asio::awaitable<result<store_record>>
   Create(std::string kind, std::string name, std::string value) override;
   boost::asio::awaitable<result<store_record>> Replace(
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -1,10 +1,8 @@
 #include "src/gateway/worker.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <future>
 #include <set>
 #include <thread>
@@ -59,7 +57,7 @@
             [](const std::string&) {},
             [](const std::shared_ptr<const service_map>&) {},
             [self](http_exchange& exchange) {
-              return self->HandleJobPage(exchange);
+              return self->HandleInternal(exchange);
             }});
     if (!host) {
       return Fail(host.error());
@@ -90,7 +88,7 @@
              }
            });
     job_follower_->SetWait(kJobWatchTimeout);
-    job_follower_->SetPause(ChangesPause(1));
+    job_follower_->SetPause(kChangesPause);
     asio::co_spawn(host_->traffic(), RunLeaseLoop(), kEndOnException);
     asio::co_spawn(host_->traffic(), RunScheduleLoop(), kEndOnException);
     asio::co_spawn(host_->traffic(), RunTakeoverLoop(), kEndOnException);
@@ -101,12 +99,13 @@
     log_.Info("The worker stops.");
     const time_point end =
         host_->time().Now() + host_->settings().bounds.stop_grace - kStopMargin;
-    std::promise<void> done;
-    asio::post(host_->traffic(), [this, &done] {
+    // Shared, as the handover may end after this function.
+    const auto done = std::make_shared<std::promise<void>>();
+    asio::post(host_->traffic(), [this, done] {
       asio::co_spawn(host_->traffic(), HandOver(),
-                     [&done](const std::exception_ptr&) { done.set_value(); });
+                     [done](const std::exception_ptr&) { done->set_value(); });
     });
-    auto handed_over = done.get_future();
+    auto handed_over = done->get_future();
     while (host_->time().Now() < end &&
            handed_over.wait_for(kStopPollInterval) !=
                std::future_status::ready) {
@@ -201,10 +200,6 @@
   asio::awaitable<void> RunTakeoverLoop() {
     while (true) {
       co_await SleepFor(kTakeoverPeriod);
-      job_follower_->SetPause(ChangesPause(
-          1 + host_->peers()
-                  .LivePeers(host_role::worker, host_->time().Now())
-                  .size()));
       std::map<std::string, std::vector<std::string>> jobs_by_owner;
       for (const auto& [id, job] : known_jobs_) {
         if (!job.record.finished &&
@@ -295,14 +290,37 @@
     }
   }
 
-  asio::awaitable<void> HandleJobPage(http_exchange& exchange) {
+  asio::awaitable<void> HandleInternal(http_exchange& exchange) {
     const auto body = co_await exchange.ReadBody(kMaxPageRequestBytes);
-    if (!body || exchange.request().target != kJobPagePath) {
+    const std::string& target = exchange.request().target;
+    if (body && target == kJobChangedPath) {
+      http_response response;
+      co_await exchange.Send(std::move(response));
+      co_await ReadChangedJob(*body);
+    } else if (body && target == kJobPagePath) {
+      co_await HandleJobPage(exchange, *body);
+    } else {
       co_await exchange.Send(ErrorResponse(
           error::Make(error_kind::not_found, "unknown internal call"), ""));
-      co_return;
     }
-    const auto page_request = Decode<job_page_request>(*body);
+  }
+
+  /// Reads a job whose change a gateway has announced.
+  asio::awaitable<void> ReadChangedJob(std::string id) {
+    const auto record =
+        co_await host_->store().Get(job_store::kJobKind, std::move(id));
+    if (!record) {
+      // The change also arrives with the next changes from the store.
+      log_.Warning("A changed batch job cannot be read.",
+                   {{"reason", record.error().message()}});
+    } else if (*record) {
+      ApplyJobRecord(**record, false);
+    }
+  }
+
+  asio::awaitable<void> HandleJobPage(http_exchange& exchange,
+                                      std::string_view body) {
+    const auto page_request = Decode<job_page_request>(body);
     if (!page_request) {
       co_await exchange.Send(ErrorResponse(page_request.error(), ""));
       co_return;
@@ -316,7 +334,7 @@
     const time_point wait_end = host_->time().Now() + page_request.wait;
     job_page page;
     while (true) {
-      const owned_job* job = runner_->Find(page_request.job);
+      owned_job* job = runner_->Find(page_request.job);
       if (job == nullptr || !job->loaded ||
           job->stored.record.account != page_request.account) {
         co_return page;
@@ -337,9 +355,7 @@
             kMaxPageBytes);
         co_return page;
       }
-      job->results_changed->expires_after(wait_end - now);
-      co_await job->results_changed->async_wait(
-          asio::as_tuple(asio::use_awaitable));
+      co_await job->results_changed->Wait(wait_end - now);
     }
   }
 
--- a/packages/jobs/src/jobs/item_queue.cc
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -26,12 +26,6 @@
 constexpr int kStoreDelayDivisor = 20;
 // Callers still want overdue results; several of them share a write.
 constexpr std::chrono::milliseconds kOverdueStoreDelay{300};
-// Up to three workers call four times a second each, more workers twelve times
-// a second in total.
-constexpr std::chrono::milliseconds kPausePerWorker{83};
-constexpr std::chrono::milliseconds kMinChangesPause{250};
-// Cancelling a job must stop its items within three seconds.
-constexpr std::chrono::milliseconds kMaxChangesPause{1000};
 
 }  // namespace
 
@@ -44,11 +38,6 @@
   return std::clamp(left / kStoreDelayDivisor, kMinStoreDelay, kMaxStoreDelay);
 }
 
-std::chrono::milliseconds ChangesPause(std::size_t workers) {
-  return std::clamp(kPausePerWorker * static_cast<int>(workers),
-                    kMinChangesPause, kMaxChangesPause);
-}
-
 item_limits LimitsOf(const route_bounds& bounds, const job_age& age) {
   const time_point submitted =
       std::min<time_point>(age.first_seen, age.now - age.by_wall_time);
--- a/packages/jobs/src/jobs/item_queue.h
+++ b/packages/jobs/src/jobs/item_queue.h
@@ -59,10 +59,12 @@
 
 /// \brief Pause of a worker between two calls to the store for changes of jobs.
 ///
-/// Every worker receives the changes of all jobs, so the calls of all workers
-/// together would grow with jobs times workers. The pause keeps them below a
-/// fixed number a second until it reaches its upper limit.
-std::chrono::milliseconds ChangesPause(std::size_t workers);
+/// Every worker receives the changes of all jobs, so without a pause the calls
+/// of all workers together would grow with jobs times workers. The owner of a
+/// job learns of its changes from the gateway that made them; the store's
+/// changes are for takeovers and for lost notices. Cancelling a job must stop
+/// its items within three seconds all the same.
+inline constexpr std::chrono::milliseconds kChangesPause{1000};
 
 /// How a run of an item ended.
 enum class item_run_outcome {
--- a/packages/jobs/src/jobs/job_store.cc
+++ b/packages/jobs/src/jobs/job_store.cc
@@ -115,9 +115,8 @@
   co_return written->revision;
 }
 
-boost::asio::awaitable<result<void>> job_store::Cancel(std::string job,
-                                                       std::string account,
-                                                       time_point deadline) {
+boost::asio::awaitable<result<std::string>>
+job_store::Cancel(std::string job, std::string account, time_point deadline) {
   backoff delay(kInitialBackoff, kMaxBackoff, Hash64(job));
   while (true) {
     auto current = co_await Read(job);
@@ -127,14 +126,15 @@
     error cause = error::Make(error_kind::store_unavailable, "");
     if (current) {
       fleet_job record = (*current)->record;
+      std::string owner = record.owner;
       if (record.cancelled || record.finished) {
-        co_return result<void>();
+        co_return owner;
       }
       record.cancelled = true;
       const auto written =
           co_await Update(std::move(record), (*current)->revision);
       if (written) {
-        co_return result<void>();
+        co_return owner;
       }
       cause = written.error();
     } else {
--- a/packages/jobs/src/jobs/job_store.h
+++ b/packages/jobs/src/jobs/job_store.h
@@ -48,11 +48,12 @@
   /// \returns the new revision, or `conflict`.
   boost::asio::awaitable<result<std::uint64_t>> Update(fleet_job record,
                                                        std::uint64_t revision);
-  /// Marks a job as cancelled by its caller. \returns `not_found` for a job
-  /// that does not exist or belongs to another account.
-  boost::asio::awaitable<result<void>> Cancel(std::string job,
-                                              std::string account,
-                                              time_point deadline);
+  /// Marks a job as cancelled by its caller. \returns the worker that owns it,
+  /// or `not_found` for a job that does not exist or belongs to another
+  /// account.
+  boost::asio::awaitable<result<std::string>> Cancel(std::string job,
+                                                     std::string account,
+                                                     time_point deadline);
   boost::asio::awaitable<result<job_input>> ReadInput(fleet_job record);
   boost::asio::awaitable<result<stored_results>> ReadResults(std::string job);
   /// \brief Reads the results for a worker that takes a job over and raises
--- a/packages/store/src/store/object_follower.cc
+++ b/packages/store/src/store/object_follower.cc
@@ -58,7 +58,7 @@
 
 boost::asio::awaitable<bool> object_follower::WatchOnce() {
   const result<store_changes> seen =
-      co_await store_->Watch(kind_, revision_, wait_.load());
+      co_await store_->Watch(kind_, revision_, wait_.load(), freshness_.load());
   if (!seen) {
     Failed("watch", seen.error());
     co_return false;
--- a/packages/store/src/store/object_follower.h
+++ b/packages/store/src/store/object_follower.h
@@ -40,6 +40,10 @@
   /// that changes in quick succession share a call. Safe from any thread.
   void SetPause(std::chrono::milliseconds pause) { pause_ = pause; }
 
+  /// Sets whether watches may report changes late, which costs the store less.
+  /// Safe from any thread.
+  void SetFreshness(read_freshness freshness) { freshness_ = freshness; }
+
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run();
 
@@ -60,6 +64,7 @@
   part_log log_{"store"};
   std::atomic<std::chrono::milliseconds> wait_;
   std::atomic<std::chrono::milliseconds> pause_;
+  std::atomic<read_freshness> freshness_{read_freshness::linearizable};
   bool listed_ = false;
   std::uint64_t revision_ = 0;
   std::optional<time_point> last_answer_;
--- a/packages/store/src/store/object_store.h
+++ b/packages/store/src/store/object_store.h
@@ -58,11 +58,12 @@
       std::string kind,
       read_freshness freshness) = 0;
   /// Waits until a record of the kind changes after \p revision, at most
-  /// \p wait.
+  /// \p wait. With `may_be_stale` a change may be reported seconds late.
   virtual boost::asio::awaitable<result<store_changes>> Watch(
       std::string kind,
       std::uint64_t revision,
-      std::chrono::milliseconds wait) = 0;
+      std::chrono::milliseconds wait,
+      read_freshness freshness) = 0;
   /// \returns `conflict` when the record exists.
   virtual boost::asio::awaitable<result<store_record>>
   Create(std::string kind, std::string name, std::string value) = 0;
--- a/standins/memory/memory_store.h
+++ b/standins/memory/memory_store.h
@@ -73,7 +73,8 @@
   boost::asio::awaitable<result<store_changes>> Watch(
       std::string kind,
       std::uint64_t after,
-      std::chrono::milliseconds wait) override {
+      std::chrono::milliseconds wait,
+      read_freshness) override {
     if (auto failed = Fault("watch", kind)) {
       co_return Fail(*failed);
     }
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -33,6 +33,8 @@
   void SetCondition(condition next) { condition_ = next; }
   /// Drops the history, so that older watches are answered with 410.
   void Compact();
+  /// While set, watches end without the events that happened.
+  void SetSilentWatches(bool silent) { silent_watches_ = silent; }
   /// Writes as the operator or a server does.
   void Put(const std::string& kind,
            const std::string& name,
@@ -80,6 +82,7 @@
   std::atomic<int> calls_{0};
   std::atomic<int> writes_{0};
   std::atomic<int> waiting_writes_{0};
+  std::atomic<bool> silent_watches_{false};
 };
 
 }  // namespace cardamomyard::standins
--- a/test/platform_path_test.cc
+++ b/test/platform_path_test.cc
@@ -288,6 +288,28 @@
   EXPECT_EQ(Runs("i-"), begun);
 }
 
+// Watches of the store may lose their events; the owner of a job learns of its
+// submission and of its end all the same.
+TEST_F(platform_fixture, Rule02_JobRunsAndEndsWhenWatchesLoseTheirEvents) {
+  const host gateway = StartGateway("g1");
+  StartWorker("w1", gateway);
+  store().SetSilentWatches(true);
+  ASSERT_EQ(Submit(gateway, "j1", 4, "i").status, 202);
+  EXPECT_TRUE(AllListed(gateway, "j1", 4)) << Log("w1");
+  ASSERT_EQ(Submit(gateway, "j2", 100, "k").status, 202);
+  const auto running = [&] {
+    return engines()[0]->running() + engines()[1]->running();
+  };
+  ASSERT_TRUE(Eventually([&] { return running() > 0; })) << Log("w1");
+  EXPECT_EQ(client()
+                .Call(gateway.front, Request("DELETE", "/v1/lots/j2", "d"))
+                .status,
+            200);
+  EXPECT_TRUE(Eventually([&] { return running() == 0; }, milliseconds(3000)))
+      << Log("w1");
+  EXPECT_LT(Runs("k-"), 100U);
+}
+
 // Guards against a host that is removed while it still holds jobs.
 TEST_F(platform_fixture, EvacuatedWorkerHandsItsJobsOver) {
   const host gateway = StartGateway("g1");
