Bring two tests of packages/net in line with the linter

Cause: clang-tidy names a string constant and a concatenation. Change: a string_view constant, append(); the checks stay.

--- a/packages/net/test/draining_test.cc
+++ b/packages/net/test/draining_test.cc
@@ -13,6 +13,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include "cardamomyard/net.h"
@@ -25,7 +26,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLimit{5000};
-const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 bool Eventually(const std::function<bool()>& holds) {
   const auto end = std::chrono::steady_clock::now() + kLimit;
@@ -162,8 +163,9 @@
     co_await exchange.Send(JsonResponse(200, "second"));
   });
   tcp::socket socket = Connect();
-  asio::write(socket, asio::buffer("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n" +
-                                   kRequest));
+  asio::write(socket, asio::buffer(
+                          std::string("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
+                              .append(kRequest)));
   started.get_future().wait();
   server_->StartDraining();
   server_->StopListening();
--- a/packages/net/test/event_reader_test.cc
+++ b/packages/net/test/event_reader_test.cc
@@ -50,7 +50,8 @@
 // The end of an event may be split over pieces at each of its bytes.
 TEST(EventReader, FindsEndsThatAreSplitOverPieces) {
   for (const std::string end : {"\n\n", "\r\n\r\n"}) {
-    const std::string stream = "id: 1\ndata: one" + end + "data: two" + end;
+    std::string stream = "id: 1\ndata: one";
+    stream.append(end).append("data: two").append(end);
     event_reader reader;
     std::vector<stream_event> events;
     for (const char byte : stream) {
