Decide on the connection's thread what a planned stop closes

Traced: the test did not wait for the second answer, since the text that it searched held the first one; so half of the head had arrived but was not read, and draining shut the connection. The server had the same gap. Change: draining cancels the waiting read on the connection's own thread, which loses no bytes, and the connection decides again whether a request is on its way; nothing is shut from another thread any more. The test waits for its own answer, and a second test covers the head that has half arrived. The shared state of the server moves to server_state.h. The log line of a changed job that cannot be read names the job.

--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -307,12 +307,11 @@
 
   /// Reads a job whose change a gateway has announced.
   asio::awaitable<void> ReadChangedJob(std::string id) {
-    const auto record =
-        co_await host_->store().Get(job_store::kJobKind, std::move(id));
+    const auto record = co_await host_->store().Get(job_store::kJobKind, id);
     if (!record) {
       // The change also arrives with the next changes from the store.
       log_.Warning("A changed batch job cannot be read.",
-                   {{"reason", record.error().message()}});
+                   {{"job", id}, {"reason", record.error().message()}});
     } else if (*record) {
       ApplyJobRecord(**record, false);
     }
--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -15,11 +15,10 @@
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
 #include <iterator>
-#include <mutex>
-#include <unordered_map>
 #include <utility>
 
 #include "src/net/error_body.h"
+#include "src/net/server_state.h"
 #include "src/net/sleep.h"
 #include "src/net/tls_context.h"
 
@@ -46,100 +45,14 @@
 constexpr std::size_t kDiscardedBytesPerRead = 4096;
 constexpr auto kUseResult = asio::as_tuple(asio::use_awaitable);
 
+using internal::CancelIdleReads;
+using internal::count_scope;
+using internal::HasUnreadBytes;
+using internal::idle_scope;
+using internal::server_state;
 using plain_stream = beast::tcp_stream;
 using tls_stream = beast::ssl_stream<beast::tcp_stream>;
 
-/// A connection that waits for a request head.
-struct idle_connection {
-  /// Set when draining shuts the connection for reading.
-  std::shared_ptr<std::atomic<bool>> shut;
-  /// Whether a request is expected: the connection is new, or part of a head
-  /// has arrived.
-  std::shared_ptr<std::atomic<bool>> expects_request;
-  /// Whether its read is limited by kDrainingHeadTimeout.
-  bool has_draining_limit = false;
-};
-
-/// Counters and flags that connections share with their server.
-struct server_state {
-  http_server_options options;
-  http_handler handler;
-  std::shared_ptr<asio::ssl::context> tls;
-  // May change while connections are open.
-  std::atomic<std::size_t> max_header_bytes{0};
-  std::atomic<std::chrono::milliseconds> read_timeout{};
-  std::atomic<std::chrono::milliseconds> idle_timeout{};
-  std::atomic<bool> draining{false};
-  std::atomic<std::size_t> connections{0};
-  std::atomic<std::size_t> active{0};
-  std::atomic<bool> accepting{true};
-  std::mutex idle_mutex;
-  /// Connections that wait for a request head.
-  std::unordered_map<plain_stream*, idle_connection> idle;
-};
-
-/// Registers a connection as idle while it waits for the next request.
-class idle_scope {
- public:
-  idle_scope(server_state& state,
-             plain_stream& stream,
-             idle_connection connection)
-      : state_(&state), stream_(&stream) {
-    const std::lock_guard lock(state_->idle_mutex);
-    state_->idle.emplace(stream_, std::move(connection));
-  }
-  ~idle_scope() {
-    const std::lock_guard lock(state_->idle_mutex);
-    state_->idle.erase(stream_);
-  }
-  idle_scope(const idle_scope&) = delete;
-  idle_scope& operator=(const idle_scope&) = delete;
-
- private:
-  server_state* state_;
-  plain_stream* stream_;
-};
-
-/// Keeps a counter raised for the lifetime of the object.
-class count_scope {
- public:
-  explicit count_scope(std::atomic<std::size_t>& counter) : counter_(&counter) {
-    ++*counter_;
-  }
-  count_scope(count_scope&& other) noexcept
-      : counter_(std::exchange(other.counter_, nullptr)) {}
-  ~count_scope() {
-    if (counter_ != nullptr) {
-      --*counter_;
-    }
-  }
-  count_scope(const count_scope&) = delete;
-  count_scope& operator=(const count_scope&) = delete;
-  count_scope& operator=(count_scope&&) = delete;
-
- private:
-  std::atomic<std::size_t>* counter_;
-};
-
-/// Shuts the idle connections that \p chosen selects for reading.
-template <class Predicate>
-void ShutIdleConnections(server_state& state, Predicate chosen) {
-  const std::lock_guard lock(state.idle_mutex);
-  for (const auto& [stream, connection] : state.idle) {
-    if (chosen(connection)) {
-      *connection.shut = true;
-      // shutdown() is safe from another thread; the waiting read then ends.
-      ::shutdown(stream->socket().native_handle(), SHUT_RD);
-    }
-  }
-}
-
-bool HasUnreadBytes(plain_stream& stream) {
-  char byte = 0;
-  return ::recv(stream.socket().native_handle(), &byte, 1,
-                MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 template <class Stream>
 class exchange final : public http_exchange {
  public:
@@ -149,14 +62,12 @@
            beast::flat_buffer& buffer,
            parser_type& parser,
            server_state& state,
-           std::string remote_ip,
-           std::shared_ptr<std::atomic<bool>> shut)
+           std::string remote_ip)
       : stream_(stream),
         buffer_(buffer),
         parser_(parser),
         state_(state),
-        remote_ip_(std::move(remote_ip)),
-        shut_(std::move(shut)) {
+        remote_ip_(std::move(remote_ip)) {
     const auto& head = parser_.get();
     request_.method = std::string(head.method_string());
     request_.target = std::string(head.target());
@@ -291,10 +202,6 @@
   void Abort() override { lowest().close(); }
 
   bool PeerClosed() override {
-    if (*shut_) {
-      // The end of the input is this server's own doing.
-      return false;
-    }
     char byte = 0;
     const auto socket = lowest().socket().native_handle();
     return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
@@ -304,9 +211,9 @@
     auto& socket = lowest().socket();
     socket.async_wait(
         tcp::socket::wait_read,
-        [watch = std::weak_ptr<char>(alive_), shut = shut_, &socket,
+        [watch = std::weak_ptr<char>(alive_), &socket,
          closed = std::move(closed)](const boost::system::error_code& code) {
-          if (code || watch.expired() || *shut) {
+          if (code || watch.expired()) {
             return;
           }
           char byte = 0;
@@ -351,7 +258,6 @@
   parser_type& parser_;
   server_state& state_;
   std::string remote_ip_;
-  std::shared_ptr<std::atomic<bool>> shut_;
   http_request request_;
   bool keep_alive_ = false;
   bool sent_keep_alive_ = false;
@@ -382,27 +288,21 @@
   co_await http::async_write(stream, message, kUseResult);
 }
 
+/// Waits for the next request and reads its head.
 template <class Stream>
-asio::awaitable<bool> ServeOne(Stream& stream,
-                               beast::flat_buffer& buffer,
-                               server_state& state,
-                               const std::string& remote_ip,
-                               bool first) {
-  // Set when draining shuts this connection for reading.
-  const auto shut = std::make_shared<std::atomic<bool>>(false);
-  http::request_parser<http::buffer_body> parser;
-  parser.header_limit(
-      static_cast<std::uint32_t>(state.max_header_bytes.load()));
-  parser.body_limit(boost::none);
+asio::awaitable<boost::system::error_code> ReadHead(
+    Stream& stream,
+    beast::flat_buffer& buffer,
+    http::request_parser<http::buffer_body>& parser,
+    server_state& state,
+    bool first) {
   plain_stream& lowest = beast::get_lowest_layer(stream);
-  boost::system::error_code code;
-  {
-    const auto expects_request = std::make_shared<std::atomic<bool>>(
-        first || buffer.size() > 0 || HasUnreadBytes(lowest));
+  const idle_scope idle(state, lowest);
+  while (true) {
     const bool draining = state.draining;
-    const idle_scope idle(state, lowest, {shut, expects_request, draining});
-    if (state.draining && !*expects_request) {
-      co_return false;
+    const bool expected = first || buffer.size() > 0 || HasUnreadBytes(lowest);
+    if (draining && !expected) {
+      co_return http::make_error_code(http::error::end_of_stream);
     }
     std::chrono::milliseconds timeout =
         first ? state.read_timeout.load() : state.idle_timeout.load();
@@ -410,19 +310,29 @@
       timeout = std::min(timeout, kDrainingHeadTimeout);
     }
     lowest.expires_after(timeout);
-    std::size_t bytes = 0;
-    if (buffer.size() == 0) {
-      std::tie(code, bytes) = co_await stream.async_read_some(
-          buffer.prepare(beast::read_size(buffer, kReadChunkBytes)),
-          kUseResult);
-      buffer.commit(bytes);
-      *expects_request = true;
-    }
-    if (!code) {
-      std::tie(code, bytes) =
-          co_await http::async_read_header(stream, buffer, parser, kUseResult);
+    auto [code, bytes] =
+        co_await http::async_read_header(stream, buffer, parser, kUseResult);
+    // Draining cancels the read, which loses no bytes, and it is decided again
+    // whether to wait for the request.
+    if (code != asio::error::operation_aborted || !state.draining) {
+      co_return code;
     }
   }
+}
+
+template <class Stream>
+asio::awaitable<bool> ServeOne(Stream& stream,
+                               beast::flat_buffer& buffer,
+                               server_state& state,
+                               const std::string& remote_ip,
+                               bool first) {
+  http::request_parser<http::buffer_body> parser;
+  parser.header_limit(
+      static_cast<std::uint32_t>(state.max_header_bytes.load()));
+  parser.body_limit(boost::none);
+  plain_stream& lowest = beast::get_lowest_layer(stream);
+  const boost::system::error_code code =
+      co_await ReadHead(stream, buffer, parser, state, first);
   if (code) {
     const bool parse_error =
         code.category() ==
@@ -439,7 +349,7 @@
     co_return false;
   }
   const count_scope active(state.active);
-  exchange<Stream> current(stream, buffer, parser, state, remote_ip, shut);
+  exchange<Stream> current(stream, buffer, parser, state, remote_ip);
   lowest.expires_never();
   bool threw = false;
   try {
@@ -545,11 +455,7 @@
 
   void StartDraining() override {
     state_->draining = true;
-    ShutIdleConnections(*state_, [](const idle_connection& connection) {
-      return !*connection.expects_request;
-    });
-    asio::co_spawn(acceptor_.get_executor(), EndDrainingHeads(state_),
-                   asio::detached);
+    CancelIdleReads(state_);
   }
 
   void StopListening() override {
@@ -575,16 +481,6 @@
   }
 
  private:
-  /// Shuts connections that waited when draining started and have still not
-  /// received a whole head.
-  static asio::awaitable<void> EndDrainingHeads(
-      std::shared_ptr<server_state> state) {
-    co_await SleepFor(kDrainingHeadTimeout);
-    ShutIdleConnections(*state, [](const idle_connection& connection) {
-      return !connection.has_draining_limit;
-    });
-  }
-
   void Run(asio::io_context& context, tcp::socket socket) {
     if (state_->connections >= state_->options.max_connections) {
       return;
--- a/packages/net/test/draining_test.cc
+++ b/packages/net/test/draining_test.cc
@@ -28,6 +28,9 @@
 constexpr milliseconds kLimit{5000};
 constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
+constexpr std::string_view kBlockingRequest =
+    "GET /block HTTP/1.1\r\nHost: h\r\n\r\n";
+
 bool Eventually(const std::function<bool()>& holds) {
   const auto end = std::chrono::steady_clock::now() + kLimit;
   while (!holds()) {
@@ -52,6 +55,18 @@
     });
   }
 
+  /// A request to /block holds the server's only thread.
+  void ServeBlocking(std::promise<void>& blocked,
+                     std::promise<void>& released) {
+    Serve([&](http_exchange& exchange) -> asio::awaitable<void> {
+      if (exchange.request().target == "/block") {
+        blocked.set_value();
+        released.get_future().wait();
+      }
+      co_await exchange.Send(JsonResponse(200, "{}"));
+    });
+  }
+
   tcp::socket Connect() {
     tcp::socket socket(context_);
     socket.connect({asio::ip::make_address(server_->address().ip()),
@@ -108,33 +123,47 @@
   tcp::socket socket = Connect();
   // The first answer makes the connection a kept one.
   asio::write(socket, asio::buffer(kRequest));
-  std::string answer;
-  asio::read_until(socket, asio::dynamic_buffer(answer), "{}");
+  std::string first;
+  asio::read_until(socket, asio::dynamic_buffer(first), "{}");
   asio::write(socket, asio::buffer(kRequest.substr(0, 10)));
   // The server's only thread has read the half head once it serves another
   // request that was sent later.
   tcp::socket other = Connect();
   asio::write(other, asio::buffer(kRequest));
-  asio::read_until(other, asio::dynamic_buffer(answer), "{}");
+  std::string second;
+  asio::read_until(other, asio::dynamic_buffer(second), "{}");
   BeginStop();
   asio::write(socket, asio::buffer(kRequest.substr(10)));
   EXPECT_TRUE(ReadToEnd(socket).starts_with("HTTP/1.1 200"));
 }
 
+// Half of the head has arrived, but the server has not read it yet.
+TEST_F(draining_fixture, Rule12_RequestWhoseHeadHasHalfArrivedIsAnswered) {
+  std::promise<void> blocked;
+  std::promise<void> released;
+  ServeBlocking(blocked, released);
+  tcp::socket socket = Connect();
+  asio::write(socket, asio::buffer(kRequest));
+  std::string first;
+  asio::read_until(socket, asio::dynamic_buffer(first), "{}");
+  tcp::socket blocking = Connect();
+  asio::write(blocking, asio::buffer(kBlockingRequest));
+  blocked.get_future().wait();
+  asio::write(socket, asio::buffer(kRequest.substr(0, 10)));
+  server_->StartDraining();
+  server_->StopListening();
+  released.set_value();
+  LetServerRun();
+  asio::write(socket, asio::buffer(kRequest.substr(10)));
+  EXPECT_TRUE(ReadToEnd(socket).starts_with("HTTP/1.1 200"));
+}
+
 TEST_F(draining_fixture, Rule12_EstablishedConnectionIsAcceptedAndAnswered) {
   std::promise<void> blocked;
   std::promise<void> released;
-  Serve([&](http_exchange& exchange) -> asio::awaitable<void> {
-    if (exchange.request().target == "/block") {
-      blocked.set_value();
-      released.get_future().wait();
-    }
-    co_await exchange.Send(JsonResponse(200, "{}"));
-  });
+  ServeBlocking(blocked, released);
   tcp::socket blocking = Connect();
-  asio::write(
-      blocking,
-      asio::buffer(std::string("GET /block HTTP/1.1\r\nHost: h\r\n\r\n")));
+  asio::write(blocking, asio::buffer(kBlockingRequest));
   blocked.get_future().wait();
   // The server's only thread is held, so the connection is established by the
   // system alone.
