Tell crashes of backend servers from other breaks, and log prompt parts

A request that breaks off early in an attempt is now followed by one connection to its server; only a refused connection is logged and counted as a crash (cardamomyard_server_crashes_total, by service). The line of a broken request has the number of events of the attempt and the shared parts of the prompt. No decision changes.

--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -223,8 +223,11 @@
     request->route = route;
     request->account = account;
     request->caller = *caller;
-    request->fingerprint =
+    request->suspect.request =
         Hash64(*body, Hash64(exchange.request().target, Hash64(account)));
+    for (const std::string& part : caller->prompt_parts) {
+      request->suspect.parts.push_back(Hash64(part));
+    }
     request->body = std::move(*body);
     request->arrived = arrived;
     request->deadline = arrived + Timeout(*caller, *route);
--- a/packages/gateway/src/gateway/protocol.h
+++ b/packages/gateway/src/gateway/protocol.h
@@ -2,6 +2,7 @@
 #define CARDAMOMYARD_GATEWAY_PROTOCOL_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,6 +27,10 @@
   std::optional<std::chrono::milliseconds> time_left;
   /// Id of the last event that the caller has received.
   std::optional<std::int64_t> last_event;
+  /// Ids of the prompt's parts that other requests may share, in their order.
+  /// Bounded, since callers choose them.
+  static constexpr std::size_t kMaxPromptParts = 16;
+  std::vector<std::string> prompt_parts;
 };
 
 /// A request for the results of a batch job from position \p after on.
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -32,6 +32,9 @@
 constexpr std::size_t kMaxTriedServers = 5;
 // A server sends the whole of a refusal at once.
 constexpr std::chrono::milliseconds kRefusalBodyTimeout{200};
+// A request that received more events in an attempt is no suspect when its
+// server crashes: the crash comes when a server begins the answer.
+constexpr int kSuspectEvents = 2;
 // The response must leave this host before the deadline.
 constexpr std::chrono::milliseconds kDeadlineMargin{20};
 
@@ -53,6 +56,14 @@
   return !last || event > *last;
 }
 
+std::string Join(const std::vector<std::string>& names) {
+  std::string list;
+  for (const std::string& name : names) {
+    list += (list.empty() ? "" : ",") + name;
+  }
+  return list;
+}
+
 /// Counts a request in its server's load during the lifetime of this object.
 class load_scope {
  public:
@@ -77,7 +88,11 @@
       placement_(host.settings().name,
                  host.settings().zone,
                  Hash64(host.settings().name) ^
-                     static_cast<std::uint64_t>(host.incarnation())) {}
+                     static_cast<std::uint64_t>(host.incarnation())),
+      crash_monitor_(
+          host.traffic(),
+          host.metrics(),
+          [](const backend_entry&, const std::vector<crash_suspect>&) {}) {}
 
 asio::awaitable<void> request_handler::Handle(
     http_exchange& exchange,
@@ -92,7 +107,7 @@
 }
 
 asio::awaitable<void> request_handler::Serve(request_state& request) {
-  if (crashes_.IsRefused(request.fingerprint, host_->time().Now())) {
+  if (crashes_.IsRefused(request.suspect.request, host_->time().Now())) {
     co_await Refuse(request,
                     error::Make(error_kind::quarantined,
                                 "this request broke off at several servers"));
@@ -234,6 +249,7 @@
   const load_scope load(*host_, backend.id);
   const time_point attempt_started = host_->time().Now();
   ++request.attempts;
+  request.attempt_events = 0;
   log_.Info(
       "A request goes to a server.",
       {{"request", request.caller.id},
@@ -349,7 +365,7 @@
     co_return co_await HandleBrokenAttempt(request, backend, body.error());
   }
   host_->pool().RecordSuccess(backend.id);
-  crashes_.RecordCompletion(request.fingerprint);
+  crashes_.RecordCompletion(request.suspect.request);
   http_response response;
   response.status = call.status();
   response.headers = host_->codec().FilterResponseHeaders(call.headers());
@@ -408,6 +424,7 @@
       events += event.raw;
       if (event.id) {
         request.last_event = event.id;
+        ++request.attempt_events;
       }
       progressed |= IsProgress(event);
     }
@@ -443,7 +460,7 @@
     }
     if (ended) {
       host_->pool().RecordSuccess(backend.id);
-      crashes_.RecordCompletion(request.fingerprint);
+      crashes_.RecordCompletion(request.suspect.request);
       co_await request.exchange->Finish();
       request.outcome_label = "answered";
       co_return next_step::finished;
@@ -462,7 +479,11 @@
   const bool out_of_time = now + kDeadlineMargin >= request.deadline;
   if (!out_of_time) {
     host_->pool().RecordFailure(backend.id, now);
-    crashes_.RecordCrash(request.fingerprint, backend.id, now);
+    crashes_.RecordCrash(request.suspect.request, backend.id, now);
+    if (cause.kind() != error_kind::timeout &&
+        request.attempt_events <= kSuspectEvents) {
+      crash_monitor_.RecordBreak(backend, request.suspect);
+    }
   }
   const bool can_move = request.route->repeatable() &&
                         request.attempts < request.route->max_attempts &&
@@ -473,6 +494,8 @@
        {"backend", backend.id},
        {"attempt", request.attempts},
        {"last_event", request.last_event.value_or(-1)},
+       {"attempt_events", request.attempt_events},
+       {"parts", Join(request.caller.prompt_parts)},
        {"moves_on", can_move ? "yes" : "no"},
        {"route", request.route->name},
        {"limit_ms", ToMilliseconds(request.deadline - request.arrived).count()},
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -10,6 +10,7 @@
 #include "cardamomyard/base.h"
 #include "cardamomyard/fleet.h"
 #include "cardamomyard/net.h"
+#include "src/gateway/crash_monitor.h"
 #include "src/gateway/host_runtime.h"
 #include "src/gateway/quota_gate.h"
 #include "src/gateway/request_state.h"
@@ -65,6 +66,7 @@
   quota_gate* quotas_;
   online_placement placement_;
   crash_record crashes_;
+  crash_monitor crash_monitor_;
   part_log log_{"online"};
 };
 
--- a/packages/gateway/src/gateway/request_state.h
+++ b/packages/gateway/src/gateway/request_state.h
@@ -11,6 +11,7 @@
 #include "cardamomyard/base.h"
 #include "cardamomyard/fleet.h"
 #include "cardamomyard/net.h"
+#include "cardamomyard/wire.h"
 #include "src/gateway/protocol.h"
 
 namespace cardamomyard {
@@ -26,7 +27,8 @@
   bool quota_charged = false;
   inbound_request caller;
   std::string body;
-  std::uint64_t fingerprint = 0;
+  /// What identifies it when servers crash under it.
+  crash_suspect suspect;
   std::string service;
 
   time_point arrived;
@@ -37,6 +39,7 @@
   bool retrying_all = false;  ///< Whether all servers are being tried again.
   int attempts = 0;           ///< How often it was sent to a server.
   bool may_have_run = false;
+  int attempt_events = 0;  ///< Events received in the current attempt.
 
   /// Whether the caller has disconnected; all work for the request must stop.
   bool caller_left = false;
--- a/packages/net/include/cardamomyard/net.h
+++ b/packages/net/include/cardamomyard/net.h
@@ -5,6 +5,7 @@
 /// Public header of the package net: HTTP server and client, request signing,
 /// error bodies and traffic threads. Beast and JSON headers stay inside.
 
+#include "src/net/connection_probe.h"
 #include "src/net/error_body.h"
 #include "src/net/event_reader.h"
 #include "src/net/host_address.h"
--- a/packages/wire/src/wire/fleet_messages.h
+++ b/packages/wire/src/wire/fleet_messages.h
@@ -34,6 +34,14 @@
   friend bool operator==(const batch_backlog&, const batch_backlog&) = default;
 };
 
+/// \brief A request that broke off when a backend server crashed, before it
+/// had made progress there, so that it may be the cause.
+struct crash_suspect {
+  std::uint64_t request = 0;         ///< Hash of account, path and body.
+  std::vector<std::uint64_t> parts;  ///< Hashes of its shared prompt parts.
+  friend bool operator==(const crash_suspect&, const crash_suspect&) = default;
+};
+
 enum class host_role : std::int32_t { gateway = 0, worker = 1 };
 
 /// \brief State of one host, sent to its peers by datagram.
