--- a/standins/platform/platform_engine.cc
+++ b/standins/platform/platform_engine.cc
@@ -83,6 +83,11 @@
   headers.Set("Response-Signature", "signed-by-" + id_);
   headers.Set("Content-Type", "text/event-stream");
   co_await exchange.StartStream(200, std::move(headers));
+  if (Take(drops_)) {
+    --running_;
+    exchange.Abort();
+    co_return;
+  }
   const int events = events_;
   const int first =
       std::atoi(request.headers.Get("Last-Event-Id").value_or("0").c_str()) + 1;
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -30,6 +30,9 @@
   /// The next \p count requests are refused as if the server were full.
   void RefuseNext(int count) { refusals_ = count; }
 
+  /// The next \p count streams break off before their first event.
+  void DropNext(int count) { drops_ = count; }
+
   /// Streams that begin from now on have \p count events.
   void SetEvents(int count) { events_ = count; }
 
@@ -49,6 +52,7 @@
   std::atomic<int> running_{0};
   std::atomic<int> cuts_{0};
   std::atomic<int> refusals_{0};
+  std::atomic<int> drops_{0};
   std::atomic<int> events_{kEvents};
   std::mutex mutex_;
   std::map<std::string, int> runs_;
