Place batch items again soon after servers crashed under them

Callers saw items of batch jobs wait for 9 to 17 s after bursts of crashes, though servers were free; with more crashes the wait grew without bound and passed the end of the job.

Cause: the runner added 3 s to an item's delay for each run in a row that delivered no event, as the item might be what makes servers fail, and counted refused connections and 421 as such runs. Items handed in for later do not crash servers, so every such delay punished a sound item.

Change: the queue decides. The delay doubles from 10 ms to at most 500 ms; refused runs do not count.

The new item_queue_test.ItemUnderWhichServersCrashedIsPlacedWithinASecond needs no network.

--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -14,10 +14,6 @@
 constexpr std::chrono::milliseconds kInitialRetryDelay{80};
 constexpr std::chrono::milliseconds kMaxRetryDelay{1000};
 constexpr std::size_t kLoadPageBytes = 4U << 20U;
-// After this many consecutive runs that broke off without an event, an item is
-// retried with increasing delays, as it may be what makes the servers fail.
-constexpr int kBreaksBeforeBackoff = 3;
-constexpr std::chrono::milliseconds kBreakBackoff{3000};
 
 }  // namespace
 
@@ -405,13 +401,8 @@
     open->text = std::move(run_result.text);
     open->last_event = run_result.last_event;
     open->any_event = run_result.any_event;
-    open->runs_without_event = progressed || !run_result.server_failed
-                                   ? 0
-                                   : open->runs_without_event + 1;
-    const auto finished = queue_.RecordOutcome(*open, run_result.ending, now);
-    if (open->runs_without_event >= kBreaksBeforeBackoff) {
-      open->not_before = now + kBreakBackoff * (open->runs_without_event - 2);
-    }
+    const auto finished = queue_.RecordOutcome(
+        *open, run_result.ending, progressed || !run_result.server_failed, now);
     if (finished) {
       RecordResult(*job, {run->item, *finished,
                           *finished ? std::move(open->text) : std::string()});
--- a/packages/jobs/src/jobs/item_queue.cc
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -11,7 +11,10 @@
 constexpr std::chrono::milliseconds kRefusalBackoff{60};
 // A server that failed an item may fail others for a short time.
 constexpr std::chrono::milliseconds kFailureBackoff{150};
+// Doubles with each run in a row that delivers nothing.
 constexpr std::chrono::milliseconds kInterruptionBackoff{10};
+constexpr std::chrono::milliseconds kMaxInterruptionBackoff{500};
+constexpr int kMaxInterruptionDoublings = 6;
 
 // Used for a batch route that sets no bound.
 constexpr std::chrono::hours kDefaultBound{24};
@@ -98,8 +101,12 @@
 
 std::optional<bool> item_queue::RecordOutcome(queued_item& item,
                                               item_run_outcome run_outcome,
+                                              bool progressed,
                                               time_point now) {
   item.running = false;
+  if (progressed) {
+    item.runs_without_event = 0;
+  }
   switch (run_outcome) {
     case item_run_outcome::completed:
       return true;
@@ -112,7 +119,11 @@
       }
       return std::nullopt;
     case item_run_outcome::interrupted:
-      item.not_before = now + kInterruptionBackoff;
+      item.not_before =
+          now + std::min(kMaxInterruptionBackoff,
+                         kInterruptionBackoff * (1 << item.runs_without_event));
+      item.runs_without_event =
+          std::min(item.runs_without_event + 1, kMaxInterruptionDoublings);
       return std::nullopt;
     case item_run_outcome::refused:
       item.not_before = now + kRefusalBackoff;
--- a/packages/jobs/src/jobs/item_queue.h
+++ b/packages/jobs/src/jobs/item_queue.h
@@ -85,7 +85,7 @@
   std::size_t index = 0;  ///< Position in the job's input.
   item_limits limits;
   int failures = 0;
-  /// Consecutive runs that broke off without an event.
+  /// Consecutive runs that broke off without an event, up to a bound.
   int runs_without_event = 0;
   bool running = false;
   std::int64_t last_event = 0;  ///< Id of the last event received.
@@ -107,10 +107,14 @@
   /// \returns the item to run next and marks it as running.
   queued_item* TakeNext(time_point now);
   queued_item* Find(const std::string& job, const std::string& item);
-  /// Records how a run ended. \returns whether the item is finished, and if so
-  /// whether it completed.
+  /// Records how a run ended. An item whose runs break off is still owed and
+  /// has not caused it, so its delay stays short however often that happens.
+  /// \param progressed  whether the run delivered an event, or ended for a
+  /// reason that is not the server's.
+  /// \returns whether the item is finished, and if so whether it completed.
   std::optional<bool> RecordOutcome(queued_item& item,
                                     item_run_outcome run_outcome,
+                                    bool progressed,
                                     time_point now);
   void Erase(const std::string& job, const std::string& item);
 
--- a/packages/jobs/test/item_queue_test.cc
+++ b/packages/jobs/test/item_queue_test.cc
@@ -49,7 +49,7 @@
     clock_.Advance(seconds(1));
     ASSERT_EQ(Next(), "a");
     const auto finished = queue_.RecordOutcome(
-        *queue_.Find("j", "a"), item_run_outcome::failed, clock_.Now());
+        *queue_.Find("j", "a"), item_run_outcome::failed, false, clock_.Now());
     EXPECT_EQ(finished.has_value(), attempt == 3);
   }
 }
@@ -62,17 +62,31 @@
     EXPECT_FALSE(queue_.RecordOutcome(
         *queue_.Find("j", "a"),
         i % 2 == 0 ? item_run_outcome::interrupted : item_run_outcome::refused,
-        clock_.Now()));
+        false, clock_.Now()));
   }
   EXPECT_EQ(queue_.Find("j", "a")->failures, 0);
 }
 
+// Items waited for 9 s and more after a burst of crashes, with free servers.
+TEST_F(item_queue_test, ItemUnderWhichServersCrashedIsPlacedWithinASecond) {
+  Add("a", seconds(50));
+  for (int crash = 0; crash < 40; ++crash) {
+    ASSERT_EQ(Next(), "a") << crash;
+    EXPECT_FALSE(queue_.RecordOutcome(*queue_.Find("j", "a"),
+                                      item_run_outcome::interrupted, false,
+                                      clock_.Now()));
+    EXPECT_EQ(Next(), "") << "it would take a slot without a pause";
+    clock_.Advance(seconds(1));
+  }
+}
+
 TEST_F(item_queue_test, ImpossibleItemIsFinishedAtOnce) {
   Add("a", seconds(5));
   ASSERT_EQ(Next(), "a");
-  EXPECT_EQ(queue_.RecordOutcome(*queue_.Find("j", "a"),
-                                 item_run_outcome::impossible, clock_.Now()),
-            std::optional<bool>(false));
+  EXPECT_EQ(
+      queue_.RecordOutcome(*queue_.Find("j", "a"), item_run_outcome::impossible,
+                           false, clock_.Now()),
+      std::optional<bool>(false));
 }
 
 // When the wall clock jumps, items must not expire before their retention is
