Refuse prompt parts that crash servers, with evidence from all gateways

Cause: crashes were counted for whole requests and by each gateway for itself, so requests that only share a prompt part never added up; and any break counted, so parts could not be told from those that break off beside them.

Change: a confirmed crash accuses the requests that had hardly begun on the server and the parts of their prompts. A complete answer clears all that its request held. What three crashes accuse and no answer clears is refused; crashes that a refused part explains accuse nothing else; servers that end at the same moment count once. Digests of all hosts, workers too, carry crashes and verdicts, so gateways add up and a restarted one knows. One gateway tries again with one request after 2 s, 1 min and 10 min, so a wrong verdict ends.

--- a/packages/fleet/include/cardamomyard/fleet.h
+++ b/packages/fleet/include/cardamomyard/fleet.h
@@ -9,7 +9,7 @@
 #include "src/fleet/backend_directory.h"
 #include "src/fleet/backend_pool.h"
 #include "src/fleet/batch_placement.h"
-#include "src/fleet/crash_record.h"
+#include "src/fleet/crash_attribution.h"
 #include "src/fleet/evacuation.h"
 #include "src/fleet/newest_peer.h"
 #include "src/fleet/online_placement.h"
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -86,7 +86,8 @@
       incarnation_(std::chrono::duration_cast<std::chrono::milliseconds>(
                        clock_.WallNow().time_since_epoch())
                        .count()),
-      peers_(settings_.name) {}
+      peers_(settings_.name),
+      crashes_(settings_.name, [this] { return LiveGateways(); }) {}
 
 host_runtime::~host_runtime() {
   control_.Stop();
@@ -344,6 +345,18 @@
          chosen.end();
 }
 
+std::vector<std::string> host_runtime::LiveGateways() const {
+  std::vector<std::string> names;
+  if (role_ == host_role::gateway && !draining_) {
+    names.push_back(settings_.name);
+  }
+  for (const peer_state* peer :
+       peers_.LivePeers(host_role::gateway, clock_.Now())) {
+    names.push_back(peer->host.name);
+  }
+  return names;
+}
+
 void host_runtime::FillDigest(load_digest& digest) {
   digest.host = settings_.name;
   digest.address = settings_.internal_listen.ToString();
@@ -359,11 +372,15 @@
       static_cast<std::int64_t>(current_inventory().backend_revision());
   digest.loads = pool_.OwnLoads();
   digest.store_contact_age = current_inventory().store_age();
+  const time_point now = clock_.Now();
+  digest.crashes = crashes_.RecentCrashes(now);
+  digest.verdicts = crashes_.Verdicts(now);
   callbacks_.fill_digest(digest);
 }
 
 void host_runtime::OnDigest(const load_digest& digest) {
   pool_.SetPeerLoads(digest.host, digest.loads);
+  crashes_.Merge(digest.crashes, digest.verdicts, clock_.Now());
   callbacks_.on_digest(digest);
 }
 
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -72,6 +72,7 @@
   inventory& current_inventory() { return *inventory_; }
   peer_table& peers() { return peers_; }
   backend_pool& pool() { return pool_; }
+  crash_attribution& crashes() { return crashes_; }
   gossip& digests() { return *gossip_; }
   thread_pool& traffic_threads() { return traffic_; }
   boost::asio::any_io_executor traffic();
@@ -98,6 +99,8 @@
   /// \returns whether this host is one of those that use short watches to
   /// detect lost events on behalf of all hosts.
   bool UsesShortWatches() const;
+  /// \returns the names of the live gateways, of this host too if it is one.
+  std::vector<std::string> LiveGateways() const;
   void FillDigest(load_digest& digest);
   void OnDigest(const load_digest& digest);
   void FollowHosts();
@@ -115,6 +118,7 @@
   std::unique_ptr<job_store> jobs_;
   peer_table peers_;
   backend_pool pool_;
+  crash_attribution crashes_;
   std::unique_ptr<inventory> inventory_;
   std::unique_ptr<gossip> gossip_;
   std::unique_ptr<object_follower> host_follower_;
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -89,10 +89,14 @@
                  host.settings().zone,
                  Hash64(host.settings().name) ^
                      static_cast<std::uint64_t>(host.incarnation())),
-      crash_monitor_(
-          host.traffic(),
-          host.metrics(),
-          [](const backend_entry&, const std::vector<crash_suspect>&) {}) {}
+      crash_monitor_(host.traffic(),
+                     host.metrics(),
+                     [this](const backend_entry& backend,
+                            const std::vector<crash_suspect>& suspects) {
+                       host_->crashes().RecordCrash(backend.id, suspects,
+                                                    host_->time().Now());
+                       host_->digests().NotifyChanged();
+                     }) {}
 
 asio::awaitable<void> request_handler::Handle(
     http_exchange& exchange,
@@ -103,18 +107,21 @@
     request->canceller->Cancel();
   });
   co_await Serve(*request);
+  if (request->is_trial && !request->may_have_run) {
+    host_->crashes().CancelTrial(request->suspect);
+  }
   LogOutcome(*request);
 }
 
 asio::awaitable<void> request_handler::Serve(request_state& request) {
-  if (crashes_.IsRefused(request.suspect.request, host_->time().Now())) {
-    co_await Refuse(request,
-                    error::Make(error_kind::quarantined,
-                                "this request broke off at several servers"));
-    co_return;
-  }
   request.service = placement_.PickService(*request.route);
   while (true) {
+    if (!MayReachServers(request)) {
+      co_await Refuse(request,
+                      error::Make(error_kind::quarantined,
+                                  "servers crash under requests like this"));
+      co_return;
+    }
     const result<chosen_backend> place = co_await WaitForPlacement(request);
     if (request.caller_left) {
       request.outcome_label = "caller_left";
@@ -140,6 +147,27 @@
   }
 }
 
+bool request_handler::MayReachServers(request_state& request) {
+  const time_point now = host_->time().Now();
+  for (const crash_verdict& verdict : host_->crashes().Decide(now)) {
+    crash_log_.Warning(
+        "Requests that crash servers are refused.",
+        {{"fingerprint", verdict.fingerprint}, {"request", request.caller.id}});
+    host_->metrics().Counter("cardamomyard_crash_verdicts_total").Add();
+    host_->digests().NotifyChanged();
+  }
+  const crash_admission admission =
+      host_->crashes().Admit(request.suspect, now);
+  if (admission == crash_admission::trial) {
+    request.is_trial = true;
+    crash_log_.Info("A request tries whether servers still crash.",
+                    {{"request", request.caller.id},
+                     {"parts", Join(request.caller.prompt_parts)}});
+    host_->digests().NotifyChanged();
+  }
+  return admission != crash_admission::refuse;
+}
+
 asio::awaitable<result<chosen_backend>> request_handler::WaitForPlacement(
     request_state& request) {
   const auto objective = request.route->latency_objective;
@@ -365,7 +393,9 @@
     co_return co_await HandleBrokenAttempt(request, backend, body.error());
   }
   host_->pool().RecordSuccess(backend.id);
-  crashes_.RecordCompletion(request.suspect.request);
+  if (call.status() < 300) {
+    host_->crashes().RecordCompletion(request.suspect, host_->time().Now());
+  }
   http_response response;
   response.status = call.status();
   response.headers = host_->codec().FilterResponseHeaders(call.headers());
@@ -460,7 +490,7 @@
     }
     if (ended) {
       host_->pool().RecordSuccess(backend.id);
-      crashes_.RecordCompletion(request.suspect.request);
+      host_->crashes().RecordCompletion(request.suspect, host_->time().Now());
       co_await request.exchange->Finish();
       request.outcome_label = "answered";
       co_return next_step::finished;
@@ -479,7 +509,6 @@
   const bool out_of_time = now + kDeadlineMargin >= request.deadline;
   if (!out_of_time) {
     host_->pool().RecordFailure(backend.id, now);
-    crashes_.RecordCrash(request.suspect.request, backend.id, now);
     if (cause.kind() != error_kind::timeout &&
         request.attempt_events <= kSuspectEvents) {
       crash_monitor_.RecordBreak(backend, request.suspect);
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -49,6 +49,9 @@
       request_state& request,
       const backend_entry& backend,
       const error& cause);
+  /// Decides whether the request may be sent to a server, or is like those
+  /// under which servers crash.
+  bool MayReachServers(request_state& request);
   /// Chooses a server, waiting a bounded time for a free slot.
   boost::asio::awaitable<result<chosen_backend>> WaitForPlacement(
       request_state& request);
@@ -65,9 +68,9 @@
   host_runtime* host_;
   quota_gate* quotas_;
   online_placement placement_;
-  crash_record crashes_;
   crash_monitor crash_monitor_;
   part_log log_{"online"};
+  part_log crash_log_{"crashes"};
 };
 
 }  // namespace cardamomyard
--- a/packages/gateway/src/gateway/request_state.h
+++ b/packages/gateway/src/gateway/request_state.h
@@ -39,6 +39,8 @@
   bool retrying_all = false;  ///< Whether all servers are being tried again.
   int attempts = 0;           ///< How often it was sent to a server.
   bool may_have_run = false;
+  /// Whether it finds out if servers still crash under what it holds.
+  bool is_trial = false;
   int attempt_events = 0;  ///< Events received in the current attempt.
 
   /// Whether the caller has disconnected; all work for the request must stop.
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -101,6 +101,24 @@
   3: i64 tokens
 }
 
+struct CrashSuspect {
+  1: i64 request
+  2: list<i64> parts
+}
+
+struct CrashReport {
+  1: string backend
+  2: i64 age_ms
+  3: list<CrashSuspect> suspects
+}
+
+struct CrashVerdict {
+  1: i64 fingerprint
+  2: bool refused
+  3: i64 age_ms
+  4: i32 trials
+}
+
 struct LoadDigest {
   1: string host
   2: string address
@@ -115,6 +133,8 @@
   11: list<Backlog> backlogs
   12: i64 store_contact_age_ms
   13: i64 backend_revision
+  14: list<CrashReport> crashes
+  15: list<CrashVerdict> verdicts
 }
 
 struct InventoryRecord {
--- a/packages/wire/src/wire/fleet_codec.cc
+++ b/packages/wire/src/wire/fleet_codec.cc
@@ -2,6 +2,8 @@
 
 #include <control_types.h>
 
+#include <algorithm>
+
 #include "src/wire/age_codec.h"
 #include "src/wire/thrift_buffer.h"
 
@@ -21,6 +23,33 @@
 // Results of one page, each at most some hundred kilobytes of text.
 constexpr int kMaxPageBytes = 16 << 20;
 
+std::chrono::milliseconds ReadAge(std::int64_t milliseconds) {
+  return std::chrono::milliseconds(std::max<std::int64_t>(0, milliseconds));
+}
+
+thrift_wire::CrashReport ToWire(const crash_report& report) {
+  thrift_wire::CrashReport entry;
+  entry.backend = report.backend;
+  entry.age_ms = report.age.count();
+  entry.suspects =
+      ConvertList(report.suspects, [](const crash_suspect& suspect) {
+        thrift_wire::CrashSuspect accused;
+        accused.request = static_cast<std::int64_t>(suspect.request);
+        accused.parts.assign(suspect.parts.begin(), suspect.parts.end());
+        return accused;
+      });
+  return entry;
+}
+
+crash_report FromWire(const thrift_wire::CrashReport& entry) {
+  return {
+      entry.backend, ReadAge(entry.age_ms),
+      ConvertList(entry.suspects, [](const thrift_wire::CrashSuspect& accused) {
+        return crash_suspect{static_cast<std::uint64_t>(accused.request),
+                             {accused.parts.begin(), accused.parts.end()}};
+      })};
+}
+
 }  // namespace
 
 std::string Encode(const load_digest& message) {
@@ -55,6 +84,16 @@
     return entry;
   });
   wire.store_contact_age_ms = FromAge(message.store_contact_age);
+  wire.crashes = ConvertList(message.crashes, ToWire);
+  wire.verdicts =
+      ConvertList(message.verdicts, [](const crash_verdict& verdict) {
+        thrift_wire::CrashVerdict entry;
+        entry.fingerprint = static_cast<std::int64_t>(verdict.fingerprint);
+        entry.refused = verdict.refused;
+        entry.age_ms = verdict.age.count();
+        entry.trials = verdict.trials;
+        return entry;
+      });
   return Serialize(wire);
 }
 
@@ -93,6 +132,13 @@
         return batch_backlog{entry.account, entry.route, entry.tokens};
       });
   message.store_contact_age = ToAge(wire->store_contact_age_ms);
+  message.crashes = ConvertList(wire->crashes, FromWire);
+  message.verdicts =
+      ConvertList(wire->verdicts, [](const thrift_wire::CrashVerdict& entry) {
+        return crash_verdict{static_cast<std::uint64_t>(entry.fingerprint),
+                             entry.refused, ReadAge(entry.age_ms),
+                             entry.trials};
+      });
   return message;
 }
 
--- a/packages/wire/src/wire/fleet_messages.h
+++ b/packages/wire/src/wire/fleet_messages.h
@@ -42,6 +42,24 @@
   friend bool operator==(const crash_suspect&, const crash_suspect&) = default;
 };
 
+/// \brief A crash of a backend server, as the sender saw it.
+struct crash_report {
+  std::string backend;
+  std::chrono::milliseconds age{0};
+  std::vector<crash_suspect> suspects;
+  friend bool operator==(const crash_report&, const crash_report&) = default;
+};
+
+/// \brief Whether requests with one fingerprint, their own or that of a prompt
+/// part, are refused because they crash backend servers.
+struct crash_verdict {
+  std::uint64_t fingerprint = 0;
+  bool refused = false;              ///< False: a complete answer cleared it.
+  std::chrono::milliseconds age{0};  ///< Since the verdict or the last trial.
+  std::int32_t trials = 0;           ///< Requests let through since.
+  friend bool operator==(const crash_verdict&, const crash_verdict&) = default;
+};
+
 enum class host_role : std::int32_t { gateway = 0, worker = 1 };
 
 /// \brief State of one host, sent to its peers by datagram.
@@ -63,6 +81,8 @@
   std::vector<account_use> uses;
   std::vector<batch_backlog> backlogs;
   event_age store_contact_age;
+  std::vector<crash_report> crashes;
+  std::vector<crash_verdict> verdicts;
   friend bool operator==(const load_digest&, const load_digest&) = default;
 };
 
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -43,6 +43,24 @@
   RC_ASSERT(*decoded == message);
 }
 
+RC_GTEST_PROP(CodecTest,
+              LoadDigestIsReadBack,
+              (const std::string& host, std::uint64_t fingerprint)) {
+  load_digest message;
+  message.host = host;
+  message.loads = {{host, 1, 2}};
+  message.uses = {{host, 3}};
+  message.backlogs = {{host, "route", 4}};
+  message.store_contact_age = std::chrono::milliseconds(5);
+  message.crashes = {{host,
+                      std::chrono::milliseconds(6),
+                      {{fingerprint, {fingerprint, 7}}, {8, {}}}}};
+  message.verdicts = {{fingerprint, true, std::chrono::milliseconds(9), 10}};
+  const auto decoded = Decode<load_digest>(Encode(message));
+  RC_ASSERT(decoded.has_value());
+  RC_ASSERT(*decoded == message);
+}
+
 // Guards against a malformed message that ends the process or allocates
 // without bound.
 RC_GTEST_PROP(CodecTest, RandomBytesNeverCrash, (const std::string& bytes)) {
