Take an empty answer without length for broken off

A server that crashes before its first event ends an answer that has neither length nor chunks like a whole one. The caller got a complete success without an event, a batch item would have been listed as completed with an empty text, and the crash would have cleared the part that caused it.

Such an answer is now treated as broken off while no event of the stream has arrived. Test: server_trouble.EmptyAnswerWithoutLengthIsNotTakenForAWholeStream; it was not run on the code before.

--- a/packages/gateway/src/gateway/active_item.cc
+++ b/packages/gateway/src/gateway/active_item.cc
@@ -134,7 +134,10 @@
       co_return run_result;
     }
   }
-  if (!reader.at_boundary()) {
+  // Without a length an answer also ends where its server crashes.
+  const bool may_be_cut =
+      (*call)->ends_with_connection() && !run_result.any_event;
+  if (!reader.at_boundary() || may_be_cut) {
     mark_interrupted(
         error::Make(error_kind::backend_failed, "the stream ended early"));
     co_return run_result;
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -440,7 +440,10 @@
       break;
     }
     const bool ended = chunk->empty();
-    if (ended && !reader.at_boundary()) {
+    // Without a length an answer also ends where its server crashes.
+    const bool may_be_cut = call.ends_with_connection() &&
+                            !request.last_event && !request.caller.last_event;
+    if (ended && (!reader.at_boundary() || may_be_cut)) {
       break;
     }
     std::string events;
--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -210,6 +210,9 @@
 
   int status() const override { return parser_->get().result_int(); }
   const header_list& headers() const override { return headers_; }
+  bool ends_with_connection() const override {
+    return !parser_->chunked() && !parser_->content_length();
+  }
 
   asio::awaitable<result<std::string>> ReadSome() override {
     if (parser_->is_done()) {
--- a/test/server_trouble_test.cc
+++ b/test/server_trouble_test.cc
@@ -126,6 +126,34 @@
   EXPECT_EQ(answer.status, 502);
 }
 
+// A server that crashes before its first event ends such an answer like a whole
+// one.
+TEST_F(server_trouble, EmptyAnswerWithoutLengthIsNotTakenForAWholeStream) {
+  ServeOnly([](raw_peer& peer, const std::string& id) {
+    peer.Send("HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+              "\r\nResponse-Signature: s\r\nConnection: close\r\n"
+              "Content-Type: text/event-stream\r\n\r\n");
+    peer.Shut();
+  });
+  const host gateway = StartGateway("g1");
+  const auto answer = CallInTime(gateway, "/draft/1");
+  EXPECT_EQ(answer.status, 502);
+}
+
+// The bytes after the last blank line belong to an event that never ended.
+TEST_F(server_trouble, AnswerWithoutLengthThatEndsInsideAnEventIsBrokenOff) {
+  ServeOnly([](raw_peer& peer, const std::string& id) {
+    peer.Send("HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+              "\r\nResponse-Signature: s\r\nConnection: close\r\n"
+              "Content-Type: text/event-stream\r\n\r\n"
+              "id: 1\ndata: a\n\nid: 2\nda");
+    peer.Shut();
+  });
+  const host gateway = StartGateway("g1");
+  const auto answer = CallInTime(gateway, "/draft/1");
+  EXPECT_FALSE(answer.whole);
+}
+
 // A server that sends a comment now and then is silent for the caller.
 TEST_F(server_trouble, StreamThatStallsWithCommentsGoesOnAtASoundServer) {
   ServeOnly([this](raw_peer& peer, const std::string& id) {
