Quarantine messages that crash engines under different requests

On the product's own interface callers would have seen the same as on the platform: entry hosts keep suspects by account, path and body, so chats that share one crashing message but are otherwise different crashed one engine each, without end.

Each chat now also accuses its messages but the last when a sidecar confirms a crash under it; after three such crashes a message is refused, on all entry hosts, since they exchange suspects. Messages that a completed chat had are never accused, so a system prompt that sound chats use stays.

Open: a stream that breaks off after its first piece accuses nothing until the sidecar's next heartbeat, and then only as a whole request.

--- a/packages/node/src/node/entry/caller_server.cc
+++ b/packages/node/src/node/entry/caller_server.cc
@@ -296,6 +296,7 @@
   forwarded.repeatable = true;
   forwarded.timeout = kInferenceTimeout;
   forwarded.prefix_hash = PromptPrefixHash(parsed->prompt);
+  forwarded.prompt_parts = parsed->parts;
   usage_subject subject{request.account, request.key_id,
                         "model/" + parsed->model};
   co_return co_await ForwardAndMeter(exchange, request.account, std::nullopt,
--- a/packages/node/src/node/entry/forwarder.cc
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -53,6 +53,11 @@
   const std::string path = request.target.substr(0, request.target.find('?'));
   const request_fingerprint fingerprint =
       Fingerprint(request.account, path, request.body);
+  if (suspects_->HasQuarantinedPart(request.prompt_parts)) {
+    co_return error::Make(
+        error_kind::quarantined,
+        "servers crash under requests with a part of this prompt");
+  }
   const suspect_decision decision = suspects_->Decide(fingerprint);
   if (decision == suspect_decision::run_normally) {
     co_return co_await ForwardWithRetries(exchange, request, fingerprint,
@@ -93,9 +98,15 @@
     attempt_report report =
         co_await Attempt(exchange, request, excluded, deadline, isolated);
     if (!report.relay.failure) {
+      suspects_->RecordPartCompletions(request.prompt_parts);
       co_return std::nullopt;
     }
     const error failure = *report.relay.failure;
+    // Each request accuses its parts once; isolated runs repeat a request.
+    if (!isolated && failure.kind() == error_kind::backend_failed &&
+        suspects_->Decide(fingerprint) != suspect_decision::run_normally) {
+      suspects_->RecordPartCrashes(request.prompt_parts);
+    }
     if (report.relay.started) {
       // The error was already reported in the stream.
       co_return failure;
--- a/packages/node/src/node/entry/forwarder.h
+++ b/packages/node/src/node/entry/forwarder.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "cardamomyard/routing.h"
 #include "src/node/answer_relay.h"
@@ -30,6 +31,8 @@
   double weight = 1;
   bool repeatable = false;
   std::uint64_t prefix_hash = 0;
+  /// Fingerprints of the parts of the prompt that other requests may share.
+  std::vector<request_fingerprint> prompt_parts;
   std::chrono::milliseconds timeout{60'000};
   std::string request_id;
   trace_context trace;
--- a/packages/node/src/node/entry/inference_request.cc
+++ b/packages/node/src/node/entry/inference_request.cc
@@ -8,6 +8,8 @@
 
 // Only this many bytes of the prompt affect the choice of a backend server.
 constexpr std::size_t kMaxPromptBytes = 4096;
+// Bounds what a request adds to the table of suspects.
+constexpr std::size_t kMaxParts = 16;
 
 void AppendText(const json::value& content, std::string& prompt) {
   if (content.is_string()) {
@@ -46,6 +48,19 @@
   return prompt;
 }
 
+std::vector<std::uint64_t> SharedParts(const json::object& fields) {
+  std::vector<std::uint64_t> parts;
+  const json::value* messages = fields.if_contains("messages");
+  if (messages == nullptr || !messages->is_array()) {
+    return parts;
+  }
+  const json::array& list = messages->as_array();
+  for (std::size_t i = 0; i + 1 < list.size() && i < kMaxParts; ++i) {
+    parts.push_back(Hash64(json::serialize(list[i])));
+  }
+  return parts;
+}
+
 result<std::string> CompletionPrompt(const json::object& fields) {
   const json::value* prompt = fields.if_contains("prompt");
   if (prompt == nullptr || !prompt->is_string()) {
@@ -87,6 +102,7 @@
     return Fail(prompt.error());
   }
   request.prompt = prompt->substr(0, kMaxPromptBytes);
+  request.parts = SharedParts(fields);
   return request;
 }
 
--- a/packages/node/src/node/entry/inference_request.h
+++ b/packages/node/src/node/entry/inference_request.h
@@ -1,8 +1,10 @@
 #ifndef CARDAMOMYARD_NODE_ENTRY_INFERENCE_REQUEST_H_
 #define CARDAMOMYARD_NODE_ENTRY_INFERENCE_REQUEST_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cardamomyard/base.h"
 
@@ -14,6 +16,8 @@
   bool stream = false;
   /// The start of the prompt, used for prefix cache affinity.
   std::string prompt;
+  /// Fingerprints of the messages of a chat without the last one.
+  std::vector<std::uint64_t> parts;
 };
 
 /// \brief Reads the body of a chat completion or completion request.
--- a/packages/node/src/node/entry/suspect_registry.cc
+++ b/packages/node/src/node/entry/suspect_registry.cc
@@ -1,5 +1,6 @@
 #include "src/node/entry/suspect_registry.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <utility>
 
@@ -65,6 +66,35 @@
   return table_.Decide(fingerprint, context_->time().WallNow());
 }
 
+bool suspect_registry::HasQuarantinedPart(
+    const std::vector<request_fingerprint>& parts) const {
+  const std::lock_guard lock(mutex_);
+  const wall_time now = context_->time().WallNow();
+  return std::any_of(parts.begin(), parts.end(), [&](request_fingerprint part) {
+    return table_.Decide(part, now) == suspect_decision::refuse;
+  });
+}
+
+void suspect_registry::RecordPartCrashes(
+    const std::vector<request_fingerprint>& parts) {
+  const std::lock_guard lock(mutex_);
+  const wall_time now = context_->time().WallNow();
+  for (const request_fingerprint part : parts) {
+    table_.RecordPartCrash(part, now);
+    if (table_.Decide(part, now) == suspect_decision::refuse) {
+      kLog.Warning("Prompt part quarantined.", {{"fingerprint", part}});
+    }
+  }
+}
+
+void suspect_registry::RecordPartCompletions(
+    const std::vector<request_fingerprint>& parts) {
+  const std::lock_guard lock(mutex_);
+  for (const request_fingerprint part : parts) {
+    table_.RecordPartCompletion(part, context_->time().WallNow());
+  }
+}
+
 asio::awaitable<result<std::optional<isolated_run>>> suspect_registry::Claim(
     request_fingerprint fingerprint) {
   auto read = co_await context_->store().Get(ClaimKey(fingerprint));
--- a/packages/node/src/node/entry/suspect_registry.h
+++ b/packages/node/src/node/entry/suspect_registry.h
@@ -26,6 +26,12 @@
   explicit suspect_registry(process_context& context);
 
   suspect_decision Decide(request_fingerprint fingerprint) const;
+  /// \returns whether servers crash under requests with one of \p parts.
+  bool HasQuarantinedPart(const std::vector<request_fingerprint>& parts) const;
+  /// A server crashed under a request with these prompt parts.
+  void RecordPartCrashes(const std::vector<request_fingerprint>& parts);
+  /// A request with these prompt parts was completed.
+  void RecordPartCompletions(const std::vector<request_fingerprint>& parts);
   /// Claims the only isolated run of the request in the object API.
   /// \returns nothing when the request has been cleared meanwhile, and
   /// `quarantined` when it must not run now.
--- a/packages/routing/src/routing/crash_suspects.cc
+++ b/packages/routing/src/routing/crash_suspects.cc
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <string>
 #include <tuple>
+#include <utility>
 
 #include "src/base/digest.h"
 
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr std::chrono::hours kEntryLifetime{1};
+constexpr std::size_t kMaxCompletedParts = 8192;
 
 auto MergeOrder(const suspect_entry& entry) {
   return std::tuple(entry.state == suspect_state::quarantined, entry.round,
@@ -107,6 +109,40 @@
   return kept == nullptr ? entry : *kept;
 }
 
+void crash_suspects::RecordPartCrash(request_fingerprint part, wall_time now) {
+  const suspect_entry* known = Find(part, now);
+  if (IsCompletedPart(part) ||
+      (known != nullptr && known->state == suspect_state::cleared)) {
+    return;
+  }
+  suspect_entry entry{part, 0, suspect_state::suspect, now + kEntryLifetime};
+  if (known != nullptr) {
+    entry.round = known->round + 1;
+  }
+  if (entry.round + 1 >= kPartCrashes) {
+    entry.state = suspect_state::quarantined;
+  }
+  Merge(entry, now);
+}
+
+void crash_suspects::RecordPartCompletion(request_fingerprint part,
+                                          wall_time now) {
+  if (completed_parts_.size() >= kMaxCompletedParts) {
+    older_completed_parts_ = std::move(completed_parts_);
+    completed_parts_.clear();
+  }
+  completed_parts_.insert(part);
+  const suspect_entry* known = Find(part, now);
+  if (known != nullptr && known->state == suspect_state::suspect) {
+    UpdateState(part, suspect_state::cleared, now);
+  }
+}
+
+bool crash_suspects::IsCompletedPart(request_fingerprint part) const {
+  return completed_parts_.contains(part) ||
+         older_completed_parts_.contains(part);
+}
+
 bool crash_suspects::Merge(const suspect_entry& entry, wall_time now) {
   if (entry.expiry <= now) {
     return false;
--- a/packages/routing/src/routing/crash_suspects.h
+++ b/packages/routing/src/routing/crash_suspects.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "src/base/clock.h"
@@ -52,6 +53,9 @@
 /// crashed, used to find the poison requests among them (rule 14).
 class crash_suspects {
  public:
+  /// Crashes under different requests after which a part is quarantined.
+  static constexpr std::uint32_t kPartCrashes = 3;
+
   /// \param max_entries  bound of the table. Cleared entries are evicted first,
   /// quarantined ones last.
   explicit crash_suspects(std::size_t max_entries = 65536);
@@ -81,6 +85,16 @@
   suspect_entry RecordQuarantined(request_fingerprint fingerprint,
                                   wall_time now);
 
+  /// \brief Records that a server crashed under a request with the prompt part
+  /// \p part.
+  ///
+  /// Requests that share only a part never add up as requests. A part is
+  /// quarantined after kPartCrashes crashes, unless a request with it was
+  /// completed: sound requests share parts with those that crash servers.
+  void RecordPartCrash(request_fingerprint part, wall_time now);
+  /// \brief Records that a request with the prompt part \p part was completed.
+  void RecordPartCompletion(request_fingerprint part, wall_time now);
+
   /// \brief Merges an entry of a peer.
   /// \returns whether the table changed; only then the entry is passed on.
   bool Merge(const suspect_entry& entry, wall_time now);
@@ -95,9 +109,14 @@
                             suspect_state state,
                             wall_time now);
   void EvictEntries(wall_time now);
+  /// \returns whether a request with the part was completed a short time ago.
+  bool IsCompletedPart(request_fingerprint part) const;
 
   std::size_t max_entries_;
   std::unordered_map<request_fingerprint, suspect_entry> entries_;
+  /// Two generations of completed parts, so that the set is bounded.
+  std::unordered_set<request_fingerprint> completed_parts_;
+  std::unordered_set<request_fingerprint> older_completed_parts_;
 };
 
 }  // namespace cardamomyard
--- a/packages/routing/test/crash_suspects_test.cc
+++ b/packages/routing/test/crash_suspects_test.cc
@@ -62,6 +62,35 @@
 
 // A host failure must not quarantine the request that happened to run alone,
 // and lost claim holders must not allow isolated runs without end.
+TEST(CrashSuspectsTest, Rule14_PartThatOnlyCrashedRequestsHaveIsQuarantined) {
+  constexpr request_fingerprint kShared = 1;
+  constexpr request_fingerprint kCrashing = 2;
+  const wall_time now{};
+  crash_suspects host;
+  crash_suspects peer;
+  host.RecordPartCompletion(kShared, now);
+  for (std::uint32_t i = 0; i < crash_suspects::kPartCrashes; ++i) {
+    EXPECT_NE(host.Decide(kCrashing, now), suspect_decision::refuse);
+    host.RecordPartCrash(kShared, now);
+    host.RecordPartCrash(kCrashing, now);
+  }
+  EXPECT_NE(host.Decide(kShared, now), suspect_decision::refuse);
+  EXPECT_EQ(host.Decide(kCrashing, now), suspect_decision::refuse);
+  for (const suspect_entry& entry : host.Entries(now)) {
+    peer.Merge(entry, now);
+  }
+  EXPECT_EQ(peer.Decide(kCrashing, now), suspect_decision::refuse);
+
+  // A part that is accused first and completed afterwards is cleared.
+  crash_suspects other;
+  other.RecordPartCrash(kShared, now);
+  other.RecordPartCompletion(kShared, now);
+  for (int i = 0; i < 10; ++i) {
+    other.RecordPartCrash(kShared, now);
+  }
+  EXPECT_NE(other.Decide(kShared, now), suspect_decision::refuse);
+}
+
 TEST(CrashSuspectsTest, FirstCrashOfALoneRequestDoesNotQuarantine) {
   crash_suspects table;
   table.RecordServerCrash(std::vector<request_fingerprint>{7}, false, kStart);
--- a/test/failure_test.cc
+++ b/test/failure_test.cc
@@ -122,5 +122,38 @@
   EXPECT_EQ(Chat(ChatBody("fine")).status, 200);
 }
 
+TEST_F(FleetTest, Rule14_MessageThatCrashesEnginesStopsReachingThem) {
+  constexpr int kCrashesBefore = 5;
+  constexpr int kMaxCrashesAfterwards = 3;
+  Start({.groups = {
+             Engines(4, {"--crash-mode", "drop", "--restart-ms", "300"})}});
+  const auto body = [](const std::string& shared, int own) {
+    return R"({"model":"lm","messages":[{"role":"system","content":"hello"},)"
+           R"({"role":"system","content":")" +
+           shared + R"("},{"role":"user","content":"question )" +
+           std::to_string(own) + R"("}],"max_tokens":4})";
+  };
+  const auto crashes = [this] {
+    int total = 0;
+    for (std::size_t i = 0; i < 4; ++i) {
+      const double seen = EngineStat("crashes", i);
+      if (seen < 0) {
+        return -1;
+      }
+      total += static_cast<int>(seen);
+    }
+    return total;
+  };
+  // No two of the requests are alike; sound ones share the first message.
+  for (int i = 0; i < 14; ++i) {
+    EXPECT_EQ(Chat(body("fine", i), i % 2).status, 200);
+    EXPECT_NE(Chat(body("CRASH_ENGINE", i), i % 2).status, 200);
+    ASSERT_TRUE(WaitUntil([&] { return crashes() >= 0; }));
+    ASSERT_TRUE(fleet_->WaitUntilReady());
+  }
+  EXPECT_LE(crashes(), kCrashesBefore + kMaxCrashesAfterwards);
+  EXPECT_EQ(Chat(body("fine", 100)).status, 200);
+}
+
 }  // namespace
 }  // namespace cardamomyard::harness
