Give batch items more than one lone crash before they fail

On the product's own interface an item under which an engine crashed once failed as quarantined at the next crash while it ran alone, or at the third crash beside others: a burst of crashes for another reason ended sound items, though items handed in for later do not crash servers.

Crashes beside other requests now never end an item. It fails only when engines crash in three runs without any other request, with a pause of 3 s after each, so that one burst does not count several times. The price: an item that does crash engines costs four instead of two, the last three of them empty but for the item.

Group.Rule14_SuspectsRunAloneAndEnd demanded the end at the first lone crash. That is the fault; it now demands that the item runs again after each lone crash but the last one allowed, and then ends. New: Group.Rule01_ItemUnderWhichEnginesCrashedIsPlacedAgain.

--- a/packages/batch/src/batch/batch_limits.h
+++ b/packages/batch/src/batch/batch_limits.h
@@ -18,6 +18,12 @@
 inline constexpr std::size_t kMaxMessageBytes = 256;
 inline constexpr std::size_t kMaxStoredAnswerBytes = 256 * 1024;
 inline constexpr std::uint32_t kMaxAttempts = 3;
+/// An item that crashed an engine runs alone; it fails when engines crash this
+/// often in such runs.
+inline constexpr std::uint32_t kMaxLoneCrashes = 3;
+/// Pause after a crash in such a run, so that one burst of crashes for another
+/// reason does not count several times.
+inline constexpr std::chrono::seconds kLoneCrashPause{3};
 inline constexpr std::chrono::seconds kGroupLeaseDuration{15};
 /// Time between the end of a lease and its takeover by another holder; allows
 /// for the clock skew between hosts.
--- a/packages/batch/src/batch/classify.cc
+++ b/packages/batch/src/batch/classify.cc
@@ -75,10 +75,9 @@
                   "the item may have run and cannot be repeated");
   }
   if (report.engine_died) {
-    // The limit on crashes also holds when the sidecar could not run the
-    // suspect alone.
-    const bool confirmed_poison = before.crashes > 0 && report.ran_alone;
-    if (confirmed_poison || before.crashes + 1 >= kMaxAttempts) {
+    // An engine also crashes for other reasons, in bursts too, and the item is
+    // owed. Only crashes of runs without any other request tell against it.
+    if (report.ran_alone && before.crashes >= kMaxLoneCrashes) {
       return Failed(index, error_kind::quarantined,
                     "the engine crashed each time while the item ran");
     }
--- a/packages/batch/test/records_test.cc
+++ b/packages/batch/test/records_test.cc
@@ -87,10 +87,29 @@
   const std::vector<std::size_t> suspect{1};
   EXPECT_TRUE(NextItems(record, suspect, 2).empty());
   crashed_run.ran_alone = true;
+  for (std::uint32_t crash = 1; crash < kMaxLoneCrashes; ++crash) {
+    const std::vector<item_result> again{
+        ClassifyResult(1, record.items[1], crashed_run)};
+    ASSERT_EQ(again[0].outcome, item_result::run_outcome::suspect) << crash;
+    record = Commit(record, {"a", 1}, "", again, kNow, "n3").value();
+  }
   EXPECT_EQ(ClassifyResult(1, record.items[1], crashed_run).failure,
             error_kind::quarantined);
 }
 
+// Two crashes beside other requests and one alone ended a sound item as failed.
+TEST(Group, Rule01_ItemUnderWhichEnginesCrashedIsPlacedAgain) {
+  group_record record = ClaimedGroup(1);
+  run_report crashed_run;
+  crashed_run.engine_died = true;
+  for (int crash = 0; crash < 6; ++crash) {
+    const std::vector<item_result> results{
+        ClassifyResult(0, record.items[0], crashed_run)};
+    record = Commit(record, {"a", 1}, "", results, kNow, "n").value();
+    ASSERT_EQ(NextItems(record, {}, 1), std::vector<std::size_t>{0}) << crash;
+  }
+}
+
 // An item that always fails could be retried forever, and a refused run could
 // use up an attempt.
 TEST(Classify, AttemptsAreBounded) {
--- a/packages/node/src/node/sidecar/group_session.cc
+++ b/packages/node/src/node/sidecar/group_session.cc
@@ -303,6 +303,9 @@
   item_outcome run_result;
   if (acquired_slot && LeaseValid()) {
     run_result = co_await runner_.Run(run, std::move(*acquired_slot));
+    if (run_result.report.engine_died) {
+      co_await SleepFor(kLoneCrashPause);
+    }
   } else {
     run_result.stopped = true;
     co_await SleepFor(kIsolationRetryDelay);
