Let the host own the monitor of crashes, and log what is refused

The probe of a crashed server could resume after its request handler was destroyed at a stop: the handler goes before the host ends the traffic thread. Found by reading; no run showed it.

A request that is refused because servers crash under it is logged with its prompt parts, so that the verdict's fingerprint can be told from sound parts. The tally of crashes has one condition instead of two equal branches.

--- a/packages/fleet/src/fleet/crash_attribution.cc
+++ b/packages/fleet/src/fleet/crash_attribution.cc
@@ -40,11 +40,15 @@
  public:
   void Add(const std::string& backend, std::uint64_t request, time_point time) {
     requests_.insert(request);
-    if (!last_ || time - *last_ > kSameMoment) {
-      Count(backend, time);
-    } else if (backend != last_backend_ && moment_.contains(request)) {
-      // It was sent on after the crash before, so this one is not a part of it.
-      Count(backend, time);
+    const bool same_moment = last_ && time - *last_ <= kSameMoment;
+    // A request that was sent on after a crash shows that the next one is
+    // another crash, however soon it follows.
+    const bool sent_on = backend != last_backend_ && moment_.contains(request);
+    if (!same_moment || sent_on) {
+      ++crashes_;
+      last_ = time;
+      last_backend_ = backend;
+      moment_.clear();
     }
     moment_.insert(request);
   }
@@ -52,13 +56,6 @@
   std::size_t requests() const { return requests_.size(); }
 
  private:
-  void Count(const std::string& backend, time_point time) {
-    ++crashes_;
-    last_ = time;
-    last_backend_ = backend;
-    moment_.clear();
-  }
-
   int crashes_ = 0;
   std::optional<time_point> last_;
   std::string last_backend_;
--- a/packages/fleet/test/crash_attribution_test.cc
+++ b/packages/fleet/test/crash_attribution_test.cc
@@ -165,10 +165,12 @@
       return static_cast<int>(random() % static_cast<std::uint64_t>(below));
     };
     std::vector<std::string> names;
+    names.reserve(kGateways);
     for (int i = 0; i < kGateways; ++i) {
       names.push_back("g" + std::to_string(i));
     }
     std::vector<std::unique_ptr<crash_attribution>> hosts;
+    hosts.reserve(kGateways);
     for (const std::string& name : names) {
       hosts.push_back(std::make_unique<crash_attribution>(
           name, [&names] { return names; }));
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -137,6 +137,13 @@
     return Fail(digests.error());
   }
   gossip_ = std::move(*digests);
+  crash_monitor_ = std::make_unique<crash_monitor>(
+      traffic(), metrics_,
+      [this](const backend_entry& backend,
+             const std::vector<crash_suspect>& suspects) {
+        crashes_.RecordCrash(backend.id, suspects, clock_.Now());
+        gossip_->NotifyChanged();
+      });
   http_server_options options;
   options.listen = settings_.internal_listen;
   auto server = http_server::Create(
@@ -193,6 +200,11 @@
   gossip_->NotifyChanged();
 }
 
+void host_runtime::RecordBreak(const backend_entry& backend,
+                               crash_suspect suspect) {
+  crash_monitor_->RecordBreak(backend, std::move(suspect));
+}
+
 void host_runtime::FollowHosts() {
   const auto add = [this](const store_record& record) {
     auto entry = DecodeHost(record);
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -16,6 +16,7 @@
 #include "cardamomyard/store.h"
 #include "cardamomyard/telemetry.h"
 #include "cardamomyard/wire.h"
+#include "src/gateway/crash_monitor.h"
 #include "src/gateway/gossip.h"
 #include "src/gateway/host_settings.h"
 #include "src/gateway/inventory.h"
@@ -82,6 +83,9 @@
   /// Records the start or end of a request or item at a server.
   void RecordStart(const std::string& backend, work_class work);
   void RecordEnd(const std::string& backend, work_class work);
+  /// Records that a server ended the connection of a request early, so that the
+  /// request is accused if the server has crashed.
+  void RecordBreak(const backend_entry& backend, crash_suspect suspect);
 
  private:
   host_runtime(host_settings settings,
@@ -119,6 +123,7 @@
   peer_table peers_;
   backend_pool pool_;
   crash_attribution crashes_;
+  std::unique_ptr<crash_monitor> crash_monitor_;
   std::unique_ptr<inventory> inventory_;
   std::unique_ptr<gossip> gossip_;
   std::unique_ptr<object_follower> host_follower_;
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -88,15 +88,7 @@
       placement_(host.settings().name,
                  host.settings().zone,
                  Hash64(host.settings().name) ^
-                     static_cast<std::uint64_t>(host.incarnation())),
-      crash_monitor_(host.traffic(),
-                     host.metrics(),
-                     [this](const backend_entry& backend,
-                            const std::vector<crash_suspect>& suspects) {
-                       host_->crashes().RecordCrash(backend.id, suspects,
-                                                    host_->time().Now());
-                       host_->digests().NotifyChanged();
-                     }) {}
+                     static_cast<std::uint64_t>(host.incarnation())) {}
 
 asio::awaitable<void> request_handler::Handle(
     http_exchange& exchange,
@@ -165,6 +157,11 @@
                      {"parts", Join(request.caller.prompt_parts)}});
     host_->digests().NotifyChanged();
   }
+  if (admission == crash_admission::refuse) {
+    crash_log_.Info("A request is refused because servers crash under it.",
+                    {{"request", request.caller.id},
+                     {"parts", Join(request.caller.prompt_parts)}});
+  }
   return admission != crash_admission::refuse;
 }
 
@@ -514,7 +511,7 @@
     host_->pool().RecordFailure(backend.id, now);
     if (cause.kind() != error_kind::timeout &&
         request.attempt_events <= kSuspectEvents) {
-      crash_monitor_.RecordBreak(backend, request.suspect);
+      host_->RecordBreak(backend, request.suspect);
     }
   }
   const bool can_move = request.route->repeatable() &&
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -10,7 +10,6 @@
 #include "cardamomyard/base.h"
 #include "cardamomyard/fleet.h"
 #include "cardamomyard/net.h"
-#include "src/gateway/crash_monitor.h"
 #include "src/gateway/host_runtime.h"
 #include "src/gateway/quota_gate.h"
 #include "src/gateway/request_state.h"
@@ -68,7 +67,6 @@
   host_runtime* host_;
   quota_gate* quotas_;
   online_placement placement_;
-  crash_monitor crash_monitor_;
   part_log log_{"online"};
   part_log crash_log_{"crashes"};
 };
