Let answers without length clear nothing before they have begun well

An answer with neither length nor chunks that ends between two pieces looks whole, also when its server crashed. It would have cleared the part that crashes servers, which then went on. Such an answer now clears what its request held only after more events than a suspect may have.

--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -390,9 +390,7 @@
     co_return co_await HandleBrokenAttempt(request, backend, body.error());
   }
   host_->pool().RecordSuccess(backend.id);
-  if (call.status() < 300) {
-    host_->crashes().RecordCompletion(request.suspect, host_->time().Now());
-  }
+  RecordCompletion(request, call);
   http_response response;
   response.status = call.status();
   response.headers = host_->codec().FilterResponseHeaders(call.headers());
@@ -490,7 +488,7 @@
     }
     if (ended) {
       host_->pool().RecordSuccess(backend.id);
-      host_->crashes().RecordCompletion(request.suspect, host_->time().Now());
+      RecordCompletion(request, call);
       co_await request.exchange->Finish();
       request.outcome_label = "answered";
       co_return next_step::finished;
@@ -500,6 +498,16 @@
   co_return co_await HandleBrokenAttempt(request, backend, cause);
 }
 
+void request_handler::RecordCompletion(const request_state& request,
+                                       const http_call& call) {
+  // An answer without length may have ended with a crash of its server.
+  const bool is_whole =
+      !call.ends_with_connection() || request.attempt_events > kSuspectEvents;
+  if (call.status() < 300 && is_whole) {
+    host_->crashes().RecordCompletion(request.suspect, host_->time().Now());
+  }
+}
+
 asio::awaitable<request_handler::next_step>
 request_handler::HandleBrokenAttempt(request_state& request,
                                      const backend_entry& backend,
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -42,6 +42,8 @@
   boost::asio::awaitable<next_step> RelayStream(request_state& request,
                                                 const backend_entry& backend,
                                                 http_call& call);
+  /// Clears what a completely answered request holds of causing crashes.
+  void RecordCompletion(const request_state& request, const http_call& call);
   /// Handles an attempt at which the server may have run the request but gave
   /// no usable response.
   boost::asio::awaitable<next_step> HandleBrokenAttempt(
--- a/packages/net/src/net/http_client.h
+++ b/packages/net/src/net/http_client.h
@@ -75,8 +75,9 @@
   virtual ~http_call() = default;
   virtual int status() const = 0;
   virtual const header_list& headers() const = 0;
-  /// Whether the answer has neither a length nor chunks, so that its end cannot
-  /// be told from a connection that breaks between two of its pieces.
+  /// \returns whether the answer has neither a length nor chunks, so that its
+  /// end cannot be told from a connection that breaks between two of its
+  /// pieces.
   virtual bool ends_with_connection() const = 0;
   /// Reads the next piece. \returns an empty string at the proper end of the
   /// message, and `backend_failed` or `timeout` when it is cut.
