Give up items only after a newer configuration dropped their route

Cause: a worker took a route that its own configuration does not contain for a removed one. Only the two hosts with short watches get a change at once; the notice of a new job overtakes it. Evidence, from the logs of a run of the case: gateway edge-varna-a-1 has version 12 at 53.154 and accepts the job at 53.173; its owner loads it at 53.175, gives up all items, and gets version 12 at 53.444.

Change: StateOfRoute() calls a route removed only if a linearizable read of the configuration, sent after the worker first saw the job, does not contain it. Until then the items wait, others run, and the worker reads the configuration itself. Limits of queued items follow each configuration; items queued without a route used to keep one attempt and 24 hours.

Why it works: the accepting gateway had its configuration from the store before the job was stored, so a later read sees that version or a newer one.

--- a/packages/gateway/src/gateway/inventory.cc
+++ b/packages/gateway/src/gateway/inventory.cc
@@ -140,10 +140,27 @@
   }
 }
 
-void inventory::ApplyConfiguration(const store_record& record,
+boost::asio::awaitable<bool> inventory::ReadConfiguration() {
+  const time_point requested = clock_->Now();
+  const auto record = co_await store_->Get(codec_->configuration_kind(),
+                                           codec_->configuration_name());
+  if (!record || !*record) {
+    log_.Warning("The configuration cannot be read.",
+                 {{"reason", record ? "the store holds no configuration"
+                                    : record.error().message()}});
+    co_return false;
+  }
+  if (!ApplyConfiguration(**record, "store")) {
+    co_return false;
+  }
+  configuration_read_ = requested;
+  co_return true;
+}
+
+bool inventory::ApplyConfiguration(const store_record& record,
                                    std::string_view source) {
   if (configuration_ && record.revision <= configuration_->revision()) {
-    return;
+    return true;
   }
   auto parsed = codec_->ParseConfiguration(record);
   if (!parsed) {
@@ -151,7 +168,7 @@
                {{"revision", record.revision},
                 {"source", source},
                 {"reason", parsed.error().message()}});
-    return;
+    return false;
   }
   configuration_ = std::make_shared<const service_map>(std::move(*parsed));
   configuration_record_ = record;
@@ -162,6 +179,7 @@
              {"routes", configuration_->routes().size()},
              {"accounts", configuration_->accounts().size()}});
   callbacks_.on_configuration(configuration_);
+  return true;
 }
 
 void inventory::ApplyBackend(const store_record& record) {
--- a/packages/gateway/src/gateway/inventory.h
+++ b/packages/gateway/src/gateway/inventory.h
@@ -43,6 +43,15 @@
   std::shared_ptr<const service_map> configuration() const {
     return configuration_;
   }
+  /// Reads the configuration from the store and applies it. A watch or a peer
+  /// may deliver it seconds later.
+  /// \returns whether the configuration in force was the newest one when this
+  /// was called.
+  boost::asio::awaitable<bool> ReadConfiguration();
+  /// \returns when the last successful ReadConfiguration() was called.
+  std::optional<time_point> configuration_read() const {
+    return configuration_read_;
+  }
   backend_directory& backends() { return backends_; }
   /// \returns whether the backend servers have been listed at least once.
   bool backends_listed() const { return backends_listed_; }
@@ -66,7 +75,8 @@
  private:
   void FollowConfiguration();
   void FollowBackends();
-  void ApplyConfiguration(const store_record& record, std::string_view source);
+  /// \returns whether \p record, or a newer one, is in force.
+  bool ApplyConfiguration(const store_record& record, std::string_view source);
   void ApplyBackendSnapshot(const store_snapshot& snapshot);
   void ApplyBackendChange(const store_change& change, std::uint64_t revision);
   void ApplyBackend(const store_record& record);
@@ -85,6 +95,7 @@
 
   std::shared_ptr<const service_map> configuration_;
   store_record configuration_record_;
+  std::optional<time_point> configuration_read_;
   backend_directory backends_;
   std::map<std::string, store_record> backend_records_;
   std::uint64_t backend_revision_ = 0;
--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds kInitialRetryDelay{80};
 constexpr std::chrono::milliseconds kMaxRetryDelay{1000};
 constexpr std::size_t kLoadPageBytes = 4U << 20U;
+// A read of the configuration takes some milliseconds.
+constexpr std::chrono::milliseconds kRouteRetryDelay{50};
 
 }  // namespace
 
@@ -159,24 +161,13 @@
 }
 
 void job_runner::EnqueueOpenItems(owned_job& job) {
-  const auto configuration = host_->current_inventory().configuration();
-  const service_route* route =
-      configuration ? configuration->FindRoute(job.stored.record.route)
-                    : nullptr;
-  job_age age;
-  age.first_seen = job.first_seen;
-  age.now = host_->time().Now();
-  age.by_wall_time =
+  job.age.first_seen = job.first_seen;
+  job.age.now = host_->time().Now();
+  job.age.by_wall_time =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           host_->time().WallNow().time_since_epoch()) -
       std::chrono::milliseconds(job.stored.record.submitted_unix_ms);
-  const item_limits limits =
-      route != nullptr
-          ? LimitsOf({route->max_attempts, route->completion_objective,
-                      route->retention},
-                     age)
-          : LimitsOf({}, age);
-
+  const item_limits limits = LimitsOfItems(job);
   job.due = limits.due;
   for (std::size_t i = 0; i < job.input->items.size(); ++i) {
     const job_item& item = job.input->items[i];
@@ -191,6 +182,32 @@
   }
 }
 
+const service_route* job_runner::RouteOf(const owned_job& job) const {
+  const auto configuration = host_->current_inventory().configuration();
+  // The inventory keeps the configuration alive until the next one.
+  return configuration ? configuration->FindRoute(job.stored.record.route)
+                       : nullptr;
+}
+
+item_limits job_runner::LimitsOfItems(const owned_job& job) const {
+  const service_route* route = RouteOf(job);
+  return route != nullptr
+             ? LimitsOf({route->max_attempts, route->completion_objective,
+                         route->retention},
+                        job.age)
+             : LimitsOf({}, job.age);
+}
+
+void job_runner::UpdateLimits() {
+  for (const auto& [id, job] : jobs_) {
+    if (job->loaded && RouteOf(*job) != nullptr) {
+      const item_limits limits = LimitsOfItems(*job);
+      job->due = limits.due;
+      queue_.SetLimits(id, limits);
+    }
+  }
+}
+
 void job_runner::StopCancelled(owned_job& job) {
   const std::string id = job.stored.record.id;
   log_.Info("A cancelled batch job is stopped.",
@@ -302,23 +319,17 @@
     return false;
   }
   owned_job* job = Find(item->job);
-  const auto configuration = host_->current_inventory().configuration();
-  const service_route* route =
-      job != nullptr && configuration
-          ? configuration->FindRoute(job->stored.record.route)
-          : nullptr;
   if (job == nullptr) {
     queue_.RemoveJob(item->job);
     return true;
   }
+  const auto configuration = host_->current_inventory().configuration();
+  const service_route* route = RouteOf(*job);
   if (route == nullptr) {
-    log_.Warning("The route of a batch item is gone.",
-                 {{"job", item->job},
-                  {"item", item->item},
-                  {"route", job->stored.record.route}});
-    RecordResult(*job, {item->item, false, ""});
+    HandleMissingRoute(*job, *item, now);
     return true;
   }
+  job->route_missing = false;
   const service_share& share =
       route->services[next_service_++ % route->services.size()];
   const auto backend =
@@ -355,6 +366,43 @@
   return true;
 }
 
+void job_runner::HandleMissingRoute(owned_job& job,
+                                    queued_item& item,
+                                    time_point now) {
+  const inventory& known = host_->current_inventory();
+  const std::string& route = job.stored.record.route;
+  if (StateOfRoute(false, known.configuration_read(), job.first_seen) ==
+      route_state::removed) {
+    log_.Warning("The route of a batch item was removed.",
+                 {{"job", item.job},
+                  {"item", item.item},
+                  {"route", route},
+                  {"configuration", known.configuration()->version()}});
+    RecordResult(job, {item.item, false, ""});
+    return;
+  }
+  item.running = false;
+  item.not_before = now + kRouteRetryDelay;
+  if (!std::exchange(job.route_missing, true)) {
+    log_.Info("A batch job waits until its route is known.",
+              {{"job", item.job},
+               {"route", route},
+               {"configuration", known.configuration()->version()}});
+  }
+  if (!std::exchange(reading_configuration_, true)) {
+    asio::co_spawn(host_->traffic(), ReadConfiguration(), kEndOnException);
+  }
+}
+
+asio::awaitable<void> job_runner::ReadConfiguration() {
+  const bool is_current =
+      co_await host_->current_inventory().ReadConfiguration();
+  if (!is_current) {
+    co_await SleepFor(kMaxRetryDelay);
+  }
+  reading_configuration_ = false;
+}
+
 asio::awaitable<void> job_runner::Run(
     std::shared_ptr<active_item> run,
     // Keeps \p item valid when its job is dropped during the run.
--- a/packages/gateway/src/gateway/job_runner.h
+++ b/packages/gateway/src/gateway/job_runner.h
@@ -22,6 +22,7 @@
 struct owned_job {
   stored_job stored;
   time_point first_seen;  ///< When this worker first saw it in the store.
+  job_age age;            ///< As of the time when it was loaded.
   time_point due;         ///< Deadline of its completion objective.
   std::shared_ptr<const job_input> input;
   stored_results results;
@@ -32,6 +33,7 @@
   std::set<std::string> settled;  ///< Items with a final result, stored or not.
   bool is_new = false;  ///< No results can be stored yet, so none are read.
   bool loaded = false;
+  bool route_missing = false;  ///< Waits until its route is known.
   bool flushing = false;
   /// Notified when results are stored.
   std::unique_ptr<change_signal> results_changed;
@@ -52,6 +54,8 @@
   /// Starts items at servers with free slots and stops items at servers whose
   /// slots online requests need.
   void Schedule();
+  /// Applies the limits of a new configuration to the open items.
+  void UpdateLimits();
   /// Stops all running items without recording results for them.
   void StopAll();
   bool idle() const;
@@ -83,6 +87,13 @@
   std::vector<std::string> LiveWorkers(time_point now) const;
   void FailExpiredItems(time_point now);
   void EnqueueOpenItems(owned_job& job);
+  /// \returns the route of a job; nothing while it is not configured.
+  const service_route* RouteOf(const owned_job& job) const;
+  item_limits LimitsOfItems(const owned_job& job) const;
+  /// Fails an item whose route was removed; delays one whose route this worker
+  /// may not know yet, and reads the configuration.
+  void HandleMissingRoute(owned_job& job, queued_item& item, time_point now);
+  boost::asio::awaitable<void> ReadConfiguration();
 
   host_runtime* host_;
   part_log log_{"worker"};
@@ -92,6 +103,7 @@
   std::map<std::pair<std::string, std::string>, std::shared_ptr<active_item>>
       active_items_;
   bool stopping_ = false;
+  bool reading_configuration_ = false;
   std::uint64_t next_service_ = 0;
 };
 
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -55,7 +55,9 @@
             },
             [self](const load_digest&) { self->runner_->Schedule(); },
             [](const std::string&) {},
-            [](const std::shared_ptr<const service_map>&) {},
+            [self](const std::shared_ptr<const service_map>&) {
+              self->runner_->UpdateLimits();
+            },
             [self](http_exchange& exchange) {
               return self->HandleInternal(exchange);
             }});
--- a/packages/jobs/include/cardamomyard/jobs.h
+++ b/packages/jobs/include/cardamomyard/jobs.h
@@ -8,5 +8,6 @@
 #include "src/jobs/fleet_job.h"
 #include "src/jobs/item_queue.h"
 #include "src/jobs/job_store.h"
+#include "src/jobs/route_state.h"
 
 #endif  // CARDAMOMYARD_JOBS_H_
--- a/packages/jobs/src/jobs/item_queue.cc
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -77,6 +77,13 @@
                 [&job](const auto& item) { return item.first.first == job; });
 }
 
+void item_queue::SetLimits(const std::string& job, const item_limits& limits) {
+  for (auto item = items_.lower_bound(key{job, ""});
+       item != items_.end() && item->first.first == job; ++item) {
+    item->second.limits = limits;
+  }
+}
+
 queued_item* item_queue::TakeNext(time_point now) {
   queued_item* best = nullptr;
   const auto order = [now](const queued_item& item) {
--- a/packages/jobs/src/jobs/item_queue.h
+++ b/packages/jobs/src/jobs/item_queue.h
@@ -103,6 +103,8 @@
  public:
   void Add(queued_item item);
   void RemoveJob(const std::string& job);
+  /// Sets the limits of all items of a job.
+  void SetLimits(const std::string& job, const item_limits& limits);
 
   /// \returns the item to run next and marks it as running.
   queued_item* TakeNext(time_point now);
--- a/packages/jobs/test/item_queue_test.cc
+++ b/packages/jobs/test/item_queue_test.cc
@@ -80,6 +80,26 @@
   }
 }
 
+// Items that were queued before their route was known failed after one attempt
+// and stayed open for a day.
+TEST_F(item_queue_test, Rule01_ItemsGetTheLimitsOfARouteThatBecomesKnown) {
+  queued_item open;
+  open.job = "j";
+  open.item = "a";
+  open.limits = LimitsOf({}, {clock_.Now(), clock_.Now(), {}});
+  queue_.Add(open);
+  open.job = "k";
+  queue_.Add(open);
+  queue_.SetLimits("j", {3, clock_.Now(), clock_.Now() + seconds(60)});
+  ASSERT_EQ(Next(), "a");
+  EXPECT_FALSE(queue_.RecordOutcome(
+      *queue_.Find("j", "a"), item_run_outcome::failed, false, clock_.Now()));
+  clock_.Advance(seconds(60));
+  const auto expired = queue_.Expired(clock_.Now());
+  ASSERT_EQ(expired.size(), 1U);
+  EXPECT_EQ(expired.front()->job, "j");
+}
+
 TEST_F(item_queue_test, ImpossibleItemIsFinishedAtOnce) {
   Add("a", seconds(5));
   ASSERT_EQ(Next(), "a");
--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -62,6 +62,11 @@
   oldest_ = ++revision_;
 }
 
+void platform_store::RefuseReads(const std::string& kind) {
+  const std::lock_guard lock(mutex_);
+  refused_kind_ = kind;
+}
+
 void platform_store::Put(const std::string& kind,
                          const std::string& name,
                          json::value spec) {
@@ -96,6 +101,9 @@
   const std::lock_guard lock(mutex_);
   auto& objects = kinds_[kind];
   if (!name.empty()) {
+    if (kind == refused_kind_) {
+      return Plain(503);
+    }
     const auto found = objects.find(name);
     return found == objects.end()
                ? Plain(404)
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -35,6 +35,8 @@
   void Compact();
   /// While set, watches end without the events that happened.
   void SetSilentWatches(bool silent) { silent_watches_ = silent; }
+  /// Refuses reads of single objects of \p kind from now on; none if empty.
+  void RefuseReads(const std::string& kind);
   /// Writes as the operator or a server does.
   void Put(const std::string& kind,
            const std::string& name,
@@ -83,6 +85,7 @@
   std::atomic<int> writes_{0};
   std::atomic<int> waiting_writes_{0};
   std::atomic<bool> silent_watches_{false};
+  std::string refused_kind_;
 };
 
 }  // namespace cardamomyard::standins
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -32,7 +32,8 @@
 
 json::object Route(const std::string& name,
                    const std::string& type,
-                   bool resumes) {
+                   bool resumes,
+                   const std::string& service = "lm") {
   return {{"name", name},
           {"host", "shop.example"},
           {"path-prefix", "/" + name + "/"},
@@ -42,7 +43,7 @@
           {"gap-aim-ms", 250},
           {"completion-target-ms", 18000},
           {"retention-s", 60},
-          {"service", "lm"},
+          {"service", service},
           {"max-attempts", resumes ? 3 : 1},
           {"can-resume", resumes}};
 }
@@ -89,18 +90,24 @@
 void platform_fleet::Configure(int version,
                                const std::vector<std::string>& keys) {
   json::array api_keys(keys.begin(), keys.end());
-  store_->Put(
-      "config", "main",
-      json::object{{"version", version},
-                   {"routes", json::array{Route("ask", "streaming", true),
-                                          Route("draft", "streaming", false),
-                                          Route("lots", "batch", true)}},
-                   {"services", json::array{}},
-                   {"tenants",
-                    json::array{json::object{{"name", "acme"},
-                                             {"api-keys", std::move(api_keys)},
-                                             {"rate-per-s", size_.rate_per_s},
-                                             {"burst", size_.rate_per_s}}}}});
+  json::array routes{Route("ask", "streaming", true),
+                     Route("draft", "streaming", false),
+                     Route("lots", "batch", true)};
+  routes.insert(routes.end(), added_routes_.begin(), added_routes_.end());
+  store_->Put("config", "main",
+              json::object{{"version", version},
+                           {"routes", std::move(routes)},
+                           {"services", json::array{}},
+                           {"tenants", json::array{json::object{
+                                           {"name", "acme"},
+                                           {"api-keys", std::move(api_keys)},
+                                           {"rate-per-s", size_.rate_per_s},
+                                           {"burst", size_.rate_per_s}}}}});
+}
+
+void platform_fleet::AddBatchRoute(const std::string& name,
+                                   const std::string& service) {
+  added_routes_.push_back(Route(name, "batch", true, service));
 }
 
 platform_fleet::host platform_fleet::Start(
@@ -112,6 +119,7 @@
   made.front = *ReserveAddress();
   made.ready = *ReserveAddress();
   const host_address control = *ReserveAddress();
+  made.internal = control;
   json::object listen;
   if (role == "gateway") {
     listen = {{"front", made.front.ToString()},
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -34,6 +34,7 @@
     std::string name;
     host_address front = host_address::Make("0.0.0.0", 0);
     host_address ready = host_address::Make("0.0.0.0", 0);
+    host_address internal = host_address::Make("0.0.0.0", 0);
     child_process* process = nullptr;
   };
 
@@ -61,6 +62,10 @@
   /// not) and lots (batch), and one account with \p keys.
   void Configure(int version, const std::vector<std::string>& keys);
 
+  /// Adds a batch route to \p service to the configurations that Configure()
+  /// writes from now on.
+  void AddBatchRoute(const std::string& name, const std::string& service);
+
   /// Starts a process in the role \p role with more \p flags.
   host Start(const std::string& role,
              const std::string& name,
@@ -109,6 +114,7 @@
   std::vector<standins::platform_engine*> engines_;
   std::vector<std::unique_ptr<standins::service_host>> engine_hosts_;
   std::vector<std::string> seeds_;
+  boost::json::array added_routes_;
   std::vector<std::unique_ptr<child_process>> processes_;
   test_client client_;
 };
