Store results by as many writes as their size takes

Cause: job_store::Append() wrote any amount of new results as one value, and a failed write was repeated with the later results added. Evidence: the owner logs "Results of a batch job cannot be stored yet.", too_large, 14xxxxx bytes of 1048576, once per second; the size only grows. Sizes were also compared before escaping, which takes up to seven times the size of a text.

Change: object_store::EncodedSize() tells the size of a value as the store counts it. Append() takes as many results as a write can hold, at least one, and Flush() writes the rest at once. A text too long for a page gets records of its own, named by its hash. On related paths the input of a job and the pages that callers read are measured by their encoded size too.

memory_store now refuses values above its limit, as the real store does; it had a limit that nothing enforced.

Why it works: each write is bounded by half of a value, and each that succeeds lists at least one result, so the backlog shrinks whatever its size is.

--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -490,9 +490,11 @@
 
 asio::awaitable<void> job_runner::Flush(std::string id) {
   backoff delay(kInitialRetryDelay, kMaxRetryDelay, Hash64(id));
+  // Results that did not fit into the last write follow at once.
+  bool is_partial = false;
   while (true) {
     owned_job* job = Find(id);
-    if (job != nullptr && !job->unstored.empty()) {
+    if (job != nullptr && !job->unstored.empty() && !is_partial) {
       co_await SleepFor(StoreDelay(job->due, host_->time().Now()));
       job = Find(id);
     }
@@ -505,15 +507,22 @@
     }
     std::vector<job_item_result> to_store = std::move(job->unstored);
     job->unstored.clear();
+    is_partial = false;
     auto stored = co_await host_->jobs().Append(id, job->results, to_store);
     job = Find(id);
     if (job == nullptr) {
       co_return;
     }
     if (stored) {
+      const auto first_left = to_store.begin() + (stored->results.count() -
+                                                  job->results.results.count());
       job->results = std::move(*stored);
-      std::move(to_store.begin(), to_store.end(),
+      std::move(to_store.begin(), first_left,
                 std::back_inserter(job->persisted));
+      is_partial = first_left != to_store.end();
+      job->unstored.insert(job->unstored.begin(),
+                           std::make_move_iterator(first_left),
+                           std::make_move_iterator(to_store.end()));
       log_.Info("Results of a batch job are stored.",
                 {{"job", id},
                  {"listed", job->persisted.size()},
@@ -538,9 +547,9 @@
       AddOrUpdate(current, first_seen, false);
       co_return;
     }
-    std::move(job->unstored.begin(), job->unstored.end(),
-              std::back_inserter(to_store));
-    job->unstored = std::move(to_store);
+    job->unstored.insert(job->unstored.begin(),
+                         std::make_move_iterator(to_store.begin()),
+                         std::make_move_iterator(to_store.end()));
     co_await SleepFor(delay.Next());
   }
   owned_job* job = Find(id);
--- a/packages/gateway/src/gateway/relayed_store.h
+++ b/packages/gateway/src/gateway/relayed_store.h
@@ -37,6 +37,9 @@
   std::size_t max_value_bytes() const override {
     return direct_->max_value_bytes();
   }
+  std::size_t EncodedSize(const std::string& value) const override {
+    return direct_->EncodedSize(value);
+  }
   boost::asio::awaitable<result<std::optional<store_record>>> Get(
       std::string kind,
       std::string name) override;
--- a/packages/jobs/src/jobs/fleet_job.cc
+++ b/packages/jobs/src/jobs/fleet_job.cc
@@ -12,6 +12,9 @@
 
 // Allowance for quotes, braces and field names around one item or part.
 constexpr std::size_t kJsonOverheadBytes = 64;
+// A character takes at most this many times its size when it is escaped, so
+// that one step of a split fits into any part.
+constexpr std::size_t kStepsPerPart = 8;
 
 json::value ToJson(const job_item& item) {
   json::array headers;
@@ -56,25 +59,45 @@
   return items;
 }
 
-json::value ToJson(const std::vector<job_item_result>& results) {
+json::array ToJson(const listed_result& listed) {
+  json::array fields{listed.item, listed.completed, listed.text};
+  if (listed.text_parts > 0) {
+    fields.emplace_back(listed.text_parts);
+    fields.emplace_back(listed.text_name);
+  }
+  return fields;
+}
+
+json::value ToJson(const std::vector<listed_result>& results) {
   json::array list;
-  for (const job_item_result& entry : results) {
-    list.push_back(json::array{entry.item, entry.completed, entry.text});
+  for (const listed_result& listed : results) {
+    list.push_back(ToJson(listed));
   }
   return list;
 }
 
-std::vector<job_item_result> ResultsFromJson(const json::value& value) {
-  std::vector<job_item_result> results;
+std::vector<listed_result> ResultsFromJson(const json::value& value) {
+  std::vector<listed_result> results;
   for (const json::value& entry : value.as_array()) {
     const json::array& fields = entry.as_array();
-    results.push_back({std::string(fields.at(0).as_string()),
-                       fields.at(1).as_bool(),
-                       std::string(fields.at(2).as_string())});
+    listed_result listed;
+    listed.item = fields.at(0).as_string();
+    listed.completed = fields.at(1).as_bool();
+    listed.text = fields.at(2).as_string();
+    if (fields.size() > 3) {
+      listed.text_parts = fields.at(3).to_number<std::int64_t>();
+      listed.text_name = fields.at(4).as_string();
+    }
+    results.push_back(std::move(listed));
   }
   return results;
 }
 
+/// \returns whether a character of UTF-8 text begins with this byte.
+bool BeginsCharacter(char byte) {
+  return (static_cast<unsigned char>(byte) & 0xC0U) != 0x80U;
+}
+
 std::string Text(const json::object& object, std::string_view field) {
   return std::string(object.at(field).as_string());
 }
@@ -189,39 +212,68 @@
   });
 }
 
-std::string EncodePage(const std::vector<job_item_result>& results) {
+std::string EncodePage(const std::vector<listed_result>& results) {
   return json::serialize(ToJson(results));
 }
 
-result<std::vector<job_item_result>> DecodePage(const std::string& value) {
+std::string EncodeListedResult(const listed_result& listed) {
+  return json::serialize(ToJson(listed));
+}
+
+result<std::vector<listed_result>> DecodePage(const std::string& value) {
   return Decode("result page", value, [](const json::value& parsed) {
     return ResultsFromJson(parsed);
   });
 }
 
 result<std::vector<std::string>> EncodeInputParts(const job_input& input,
+                                                  const value_size& size,
                                                   std::size_t max_bytes) {
   std::vector<std::string> parts;
   std::vector<job_item> current;
-  std::size_t size = kJsonOverheadBytes;
+  std::size_t total = kJsonOverheadBytes;
   for (const job_item& item : input.items) {
-    const std::size_t bytes = json::serialize(ToJson(item)).size() + 1;
+    const std::size_t bytes = size(json::serialize(ToJson(item)));
     if (bytes + kJsonOverheadBytes > max_bytes) {
       return Fail(error_kind::too_large,
                   "item " + item.id + " takes " + std::to_string(bytes) +
                       " bytes, but the store accepts at most " +
                       std::to_string(max_bytes));
     }
-    if (!current.empty() && size + bytes > max_bytes) {
+    if (!current.empty() && total + bytes > max_bytes) {
       parts.push_back(EncodeInput(current));
       current.clear();
-      size = kJsonOverheadBytes;
+      total = kJsonOverheadBytes;
     }
-    size += bytes;
+    total += bytes;
     current.push_back(item);
   }
   parts.push_back(EncodeInput(current));
   return parts;
 }
 
+std::vector<std::string> SplitText(const std::string& text,
+                                   const value_size& size,
+                                   std::size_t max_bytes) {
+  const std::size_t step = std::max<std::size_t>(1, max_bytes / kStepsPerPart);
+  std::vector<std::string> parts(1);
+  std::size_t total = 0;
+  for (std::size_t begin = 0; begin < text.size();) {
+    std::size_t end = std::min(begin + step, text.size());
+    while (end < text.size() && !BeginsCharacter(text[end])) {
+      ++end;
+    }
+    const std::string piece = text.substr(begin, end - begin);
+    const std::size_t bytes = size(piece);
+    if (!parts.back().empty() && total + bytes > max_bytes) {
+      parts.emplace_back();
+      total = 0;
+    }
+    parts.back() += piece;
+    total += bytes;
+    begin = end;
+  }
+  return parts;
+}
+
 }  // namespace cardamomyard
--- a/packages/jobs/src/jobs/fleet_job.h
+++ b/packages/jobs/src/jobs/fleet_job.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -57,12 +58,23 @@
   friend bool operator==(const fleet_job&, const fleet_job&) = default;
 };
 
+/// \brief A result as a page holds it.
+struct listed_result {
+  std::string item;
+  bool completed = false;
+  std::string text;  ///< Empty when separate records hold it.
+  /// Number of separate records that hold the text, and their common name.
+  std::int64_t text_parts = 0;
+  std::string text_name;
+  friend bool operator==(const listed_result&, const listed_result&) = default;
+};
+
 /// \brief The results of a job in the order in which they became final. Pages
 /// before the last one are sealed and never change.
 struct job_results {
   /// Number of results of each sealed page.
   std::vector<std::int64_t> sealed_page_sizes;
-  std::vector<job_item_result> open_page;
+  std::vector<listed_result> open_page;
   /// Grows when another worker takes the job over, which also changes the
   /// value: the store gives a new revision only to a changed value.
   std::int64_t fencing_token = 0;
@@ -77,20 +89,31 @@
 std::string EncodeRecord(const fleet_job& record);
 std::string EncodeInput(const std::vector<job_item>& items);
 std::string EncodeResults(const job_results& results);
-std::string EncodePage(const std::vector<job_item_result>& results);
+std::string EncodePage(const std::vector<listed_result>& results);
+std::string EncodeListedResult(const listed_result& listed);
 
 /// Each returns `internal` for a value that this version cannot read.
 result<fleet_job> DecodeRecord(const std::string& id, const std::string& value);
 result<std::vector<job_item>> DecodeInput(const std::string& value);
 result<job_results> DecodeResults(const std::string& value);
-result<std::vector<job_item_result>> DecodePage(const std::string& value);
+result<std::vector<listed_result>> DecodePage(const std::string& value);
 
-/// \brief Splits a job's items into parts whose encoded size is at most
-/// \p max_bytes each.
+/// Measures a value as a store does.
+using value_size = std::function<std::size_t(const std::string& value)>;
+
+/// \brief Splits a job's items into parts whose size is at most \p max_bytes
+/// each.
 /// \returns `too_large` when one item alone is larger.
 result<std::vector<std::string>> EncodeInputParts(const job_input& input,
+                                                  const value_size& size,
                                                   std::size_t max_bytes);
 
+/// \brief Splits a text, between characters, into parts whose size is at most
+/// \p max_bytes each.
+std::vector<std::string> SplitText(const std::string& text,
+                                   const value_size& size,
+                                   std::size_t max_bytes);
+
 }  // namespace cardamomyard
 
 #endif  // CARDAMOMYARD_JOBS_FLEET_JOB_H_
--- a/packages/jobs/src/jobs/job_store.h
+++ b/packages/jobs/src/jobs/job_store.h
@@ -29,8 +29,9 @@
 ///
 /// Kinds: `batch-job` (fleet_job, with the items of a small job),
 /// `batch-input` (items of a larger one, immutable), `batch-result` (last page
-/// of results) and `batch-page` (sealed pages). A job exists once its record is
-/// created, which happens after its input is stored.
+/// of results), `batch-page` (sealed pages) and `batch-text` (texts that are
+/// too long for a page, immutable). A job exists once its record is created,
+/// which happens after its input is stored.
 class job_store {
  public:
   static constexpr const char* kJobKind = "batch-job";
@@ -72,7 +73,9 @@
       const job_results& results,
       std::int64_t after,
       std::size_t max_bytes);
-  /// \brief Appends \p new_results to \p current, the results as last read.
+  /// \brief Appends as many of \p new_results, from the first one on, as one
+  /// write can hold to \p current, the results as last read; at least one if
+  /// there is one.
   ///
   /// A lost answer is resolved by reading back.
   /// \returns the results as stored, or `conflict` when another worker wrote.
@@ -88,13 +91,37 @@
   /// results in it.
   boost::asio::awaitable<result<std::size_t>> Seal(std::string job,
                                                    const job_results& results);
+  /// Seals the open page of \p results and removes what was sealed from it.
+  boost::asio::awaitable<result<void>> StartPage(std::string job,
+                                                 job_results& results);
+  /// \returns \p entry as a page of at most page_limit() can hold it.
+  listed_result ListResult(const job_item_result& entry) const;
+  /// Stores the text of \p entry in separate records if \p listed says so.
+  boost::asio::awaitable<result<void>> StoreText(std::string job,
+                                                 const listed_result& listed,
+                                                 const job_item_result& entry);
+  boost::asio::awaitable<result<std::string>> ReadText(
+      std::string job,
+      const listed_result& listed);
+  boost::asio::awaitable<void> RemoveTexts(
+      std::string job,
+      const std::vector<listed_result>& page);
+  boost::asio::awaitable<result<std::vector<listed_result>>> ReadPage(
+      std::string job,
+      std::int64_t page);
+
+  std::size_t value_limit() const;
+  std::size_t page_limit() const;
+  std::size_t Size(const listed_result& listed) const;
+  std::size_t Size(const std::vector<listed_result>& page) const;
+  std::vector<std::string> TextParts(const std::string& text) const;
 
   object_store* store_;
   const clock* clock_;
 };
 
-/// \returns the results of \p list from \p from on that fit into \p max_bytes,
-/// at least one.
+/// \returns the results of \p list from \p from on whose texts, as JSON, fit
+/// into \p max_bytes, at least one.
 std::vector<job_item_result> SliceResults(
     const std::vector<job_item_result>& list,
     std::size_t from,
--- a/packages/jobs/test/job_store_test.cc
+++ b/packages/jobs/test/job_store_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -42,8 +43,56 @@
   return job;
 }
 
+/// Texts that take up to six times their size in a store, when escaped once
+/// more than that.
+std::string GrowingText(std::size_t bytes) {
+  const std::string unit = "\"\\\n\x01\xC3\xA9\xE2\x82\xAC a";
+  std::string text;
+  while (text.size() < bytes) {
+    text += unit;
+  }
+  return text;
+}
+
 class job_store_test : public ::testing::Test {
  protected:
+  /// Appends \p results as a worker does, by as many writes as it takes.
+  /// \returns the error of a write that failed.
+  std::optional<error> AppendAll(const std::string& job,
+                                 stored_results& latest,
+                                 std::vector<job_item_result> results) {
+    while (!results.empty()) {
+      auto written = Await(jobs_.Append(job, latest, results));
+      if (!written) {
+        return written.error();
+      }
+      const auto added = written->results.count() - latest.results.count();
+      EXPECT_GT(added, 0);
+      results.erase(results.begin(), results.begin() + added);
+      latest = std::move(*written);
+    }
+    return std::nullopt;
+  }
+
+  /// Reads all results as a caller does.
+  std::vector<job_item_result> ReadAll(const std::string& job,
+                                       std::size_t max_bytes) {
+    std::vector<job_item_result> all;
+    const auto current = Await(jobs_.ReadResults(job));
+    while (current &&
+           static_cast<std::int64_t>(all.size()) < current->results.count()) {
+      const auto page = Await(
+          jobs_.ReadFrom(job, current->results,
+                         static_cast<std::int64_t>(all.size()), max_bytes));
+      if (!page || page->empty()) {
+        ADD_FAILURE() << "a page of results cannot be read";
+        break;
+      }
+      all.insert(all.end(), page->begin(), page->end());
+    }
+    return all;
+  }
+
   time_point Deadline(milliseconds time = milliseconds(500)) const {
     return clock_.Now() + time;
   }
@@ -223,15 +272,88 @@
             error_kind::not_found);
 }
 
+// Results that were ready together and larger than one value of the store were
+// written again for ever, and no result of the job was listed.
+TEST_F(job_store_test, Rule01_ResultsThatPileUpAreStoredInSeveralWrites) {
+  for (const std::size_t bytes : {100U, 1000U, 4000U}) {
+    for (const bool grows : {false, true}) {
+      const std::string job = std::to_string(bytes) + (grows ? "g" : "");
+      store_.max_bytes = 20'000;
+      std::vector<job_item_result> results;
+      results.reserve(200);
+      for (int i = 0; i < 200; ++i) {
+        results.push_back(
+            {"item-" + std::to_string(i), i % 9 != 0,
+             grows ? GrowingText(bytes) : std::string(bytes, 'x')});
+      }
+      stored_results latest;
+      const auto failed = AppendAll(job, latest, results);
+      ASSERT_FALSE(failed) << failed->message();
+      EXPECT_EQ(ReadAll(job, 50'000), results);
+    }
+  }
+}
+
+// A result that is larger than any value of the store must neither be lost nor
+// hold up the others.
+TEST_F(job_store_test, Rule01_TextThatIsLongerThanAValueIsListed) {
+  store_.max_bytes = 2000;
+  const std::vector<job_item_result> results{
+      {"short", true, "a"},
+      {"long", true, std::string(9000, 'x')},
+      {"grows", true, GrowingText(5000)},
+      {"same", true, GrowingText(5000)},
+      {"last", true, "b"}};
+  stored_results latest;
+  int lost = 0;
+  store_.faults = [&lost](std::string_view call, const std::string&) {
+    return call == "create" && ++lost % 3 == 0 ? memory_store::fault::lost_after
+                                               : memory_store::fault::none;
+  };
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    const auto done = static_cast<std::ptrdiff_t>(latest.results.count());
+    if (!AppendAll("j", latest, {results.begin() + done, results.end()})) {
+      break;
+    }
+  }
+  EXPECT_EQ(ReadAll("j", 500), results);
+  EXPECT_EQ(ReadAll("j", 1U << 20U), results);
+}
+
+// Callers accept answers of a bounded size, in which a text takes more bytes
+// than it has.
+TEST(SliceResults, AnswersAreBoundedBySizeAsJson) {
+  const std::vector<job_item_result> results(
+      40, {"item", true, std::string(50'000, '"')});
+  const auto taken = SliceResults(results, 0, 700'000);
+  EXPECT_EQ(taken.size(), 6U);
+  EXPECT_EQ(SliceResults(results, 39, 10).size(), 1U);
+  EXPECT_TRUE(SliceResults(results, 40, 10).empty());
+}
+
+// Items with short bodies and many quotes in their headers were refused,
+// although each fits into a value of the store.
+TEST_F(job_store_test, InputThatGrowsWhenItIsEncodedIsAccepted) {
+  store_.max_bytes = 4000;
+  job_input input = Input(40);
+  for (job_item& item : input.items) {
+    item.headers.Add("X-Note", std::string(500, '"'));
+  }
+  const auto accepted = Await(jobs_.Accept(Job("j", input), input, Deadline()));
+  ASSERT_TRUE(accepted) << accepted.error().message();
+  EXPECT_EQ(Await(jobs_.ReadInput((*Await(jobs_.Read("j")))->record)), input);
+}
+
 TEST_F(job_store_test, RemovedJobLeavesNothingBehind) {
   store_.max_bytes = 2000;
   const job_input input = Input(10, 200);
   ASSERT_TRUE(Await(jobs_.Accept(Job("j", input), input, Deadline())));
   stored_results latest;
   for (int i = 0; i < 10; ++i) {
-    latest = *Await(jobs_.Append(
-        "j", latest,
-        {{"item-" + std::to_string(i), true, std::string(300, 'x')}}));
+    latest =
+        *Await(jobs_.Append("j", latest,
+                            {{"item-" + std::to_string(i), true,
+                              std::string(i % 4 == 0 ? 5000 : 300, 'x')}}));
   }
   EXPECT_FALSE(latest.results.sealed_page_sizes.empty());
   const auto stored = Await(jobs_.Read("j"));
--- a/packages/store/src/store/object_store.h
+++ b/packages/store/src/store/object_store.h
@@ -81,6 +81,9 @@
                                                       std::string name) = 0;
   /// \returns the size that a value may have in bytes, as encoded.
   virtual std::size_t max_value_bytes() const = 0;
+  /// \returns the size of \p value in bytes, as encoded. The sizes of the parts
+  /// of a value add up to at least its size.
+  virtual std::size_t EncodedSize(const std::string& value) const = 0;
 };
 
 /// \brief Creates a record and tries again until the store says whether it
--- a/standins/memory/memory_store.h
+++ b/standins/memory/memory_store.h
@@ -2,6 +2,7 @@
 #define CARDAMOMYARD_STANDINS_MEMORY_MEMORY_STORE_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/json.hpp>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -36,6 +37,10 @@
 
   std::size_t max_value_bytes() const override { return max_bytes; }
   std::size_t max_bytes = 1'000'000;
+  /// The size of a JSON string, which most stores send values as.
+  std::size_t EncodedSize(const std::string& value) const override {
+    return boost::json::serialize(boost::json::string(value)).size();
+  }
 
   std::map<record_key, store_record> records;
   std::uint64_t revision = 1;
@@ -161,6 +166,9 @@
                              const std::string& name,
                              const std::string& value,
                              std::optional<std::uint64_t> expected) {
+    if (EncodedSize(value) > max_bytes) {
+      return Fail(error_kind::too_large, "too large");
+    }
     if (auto failed = Fault(call, kind)) {
       return Fail(*failed);
     }
--- a/test/batch_route_test.cc
+++ b/test/batch_route_test.cc
@@ -58,7 +58,7 @@
       }
       const auto results = DecodeResults(std::string(spec.as_string()));
       completed = 0;
-      for (const job_item_result& entry : results->open_page) {
+      for (const listed_result& entry : results->open_page) {
         completed += entry.completed ? 1 : 0;
       }
       return results->count() == kItems;
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -136,8 +136,8 @@
       {"seeds", std::move(seeds)},
       {"bootstrap", true},
       {"bounds", json::object{{"grace-s", 8}, {"drain-ms", 2000}}},
-      {"platform",
-       json::object{{"address", store_host_->address().ToString()}}}};
+      {"platform", json::object{{"address", store_host_->address().ToString()},
+                                {"value-bytes", value_bytes_}}}};
   const std::string file = (folder_ / (name + ".json")).string();
   std::ofstream(file) << json::serialize(settings);
   seeds_.push_back(control.ToString());
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -66,6 +66,10 @@
   /// writes from now on.
   void AddBatchRoute(const std::string& name, const std::string& service);
 
+  /// Sets the size that the store allows a value, for processes that start
+  /// from now on.
+  void SetValueBytes(std::size_t bytes) { value_bytes_ = bytes; }
+
   /// Starts a process in the role \p role with more \p flags.
   host Start(const std::string& role,
              const std::string& name,
@@ -115,6 +119,7 @@
   std::vector<std::unique_ptr<standins::service_host>> engine_hosts_;
   std::vector<std::string> seeds_;
   boost::json::array added_routes_;
+  std::size_t value_bytes_ = 1'000'000;
   std::vector<std::unique_ptr<child_process>> processes_;
   test_client client_;
 };
--- a/test/platform_path_test.cc
+++ b/test/platform_path_test.cc
@@ -232,6 +232,23 @@
   EXPECT_TRUE(store().Spec("batch-job", "j1").is_null());
 }
 
+// Results that piled up while the store was away were larger than one value of
+// it together; none of them was ever listed.
+TEST_F(platform_fixture, Rule01_ResultsThatPiledUpDuringAnOutageAreListed) {
+  constexpr int kItems = 60;
+  SetValueBytes(8000);
+  const host gateway = StartGateway("g1");
+  StartWorker("w1", gateway);
+  ASSERT_EQ(Submit(gateway, "j1", kItems, "i").status, 202);
+  ASSERT_TRUE(Eventually([&] {
+    return Logged("w1", "A batch job is loaded.", "\"j1\"");
+  })) << Log("w1");
+  store().SetCondition(standins::platform_store::condition::refusing);
+  ASSERT_TRUE(Eventually([&] { return Runs("i-") == kItems; })) << Log("w1");
+  store().SetCondition(standins::platform_store::condition::serving);
+  EXPECT_TRUE(AllListed(gateway, "j1", kItems)) << Log("w1");
+}
+
 // Guards against a refusal that is overtaken by its own write, which the store
 // does after it has closed the connection.
 TEST_F(platform_fixture, Rule09_LateWritesNeverMakeAnswersUntrue) {
