Let no service hold up the batch items of others

Cause: the worker took the item that is due first over all services; when it could not be placed, scheduling stopped, and the next pass began with the same item.

Change: TakeNext() skips routes found full in the same pass.

Why it works: a pass ends only when each route with waiting items has been found full, so an idle server that may take an item is always asked.

--- a/packages/fleet/src/fleet/batch_placement.cc
+++ b/packages/fleet/src/fleet/batch_placement.cc
@@ -16,6 +16,25 @@
 
 }  // namespace
 
+std::vector<std::string> ServicesInTurn(
+    const std::vector<service_share>& shares,
+    std::uint64_t turn) {
+  std::vector<std::string> services;
+  for (const service_share& share : shares) {
+    if (share.weight > 0) {
+      services.push_back(share.service);
+    }
+  }
+  if (services.empty()) {
+    return {shares.front().service};
+  }
+  std::rotate(
+      services.begin(),
+      services.begin() + static_cast<std::ptrdiff_t>(turn % services.size()),
+      services.end());
+  return services;
+}
+
 batch_placement::batch_placement(std::string self) : self_(std::move(self)) {}
 
 void batch_placement::Observe(const std::vector<backend_status>& servers,
--- a/packages/fleet/src/fleet/batch_placement.h
+++ b/packages/fleet/src/fleet/batch_placement.h
@@ -2,6 +2,7 @@
 #define CARDAMOMYARD_FLEET_BATCH_PLACEMENT_H_
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -9,9 +10,20 @@
 
 #include "cardamomyard/base.h"
 #include "src/fleet/backend_pool.h"
+#include "src/fleet/service_map.h"
 
 namespace cardamomyard {
 
+/// \brief The services that may run an item of a batch route, in the order in
+/// which they are tried.
+///
+/// Another service of the route is tried when the first one has no server for
+/// the item. One with a share of zero gets none, unless all have.
+/// \param turn  changes with each item, so that the services take turns.
+std::vector<std::string> ServicesInTurn(
+    const std::vector<service_share>& shares,
+    std::uint64_t turn);
+
 /// \brief Places batch items in slots that online requests leave free.
 ///
 /// Designed for online bursts that take most slots for some seconds, with idle
--- a/packages/fleet/test/batch_placement_test.cc
+++ b/packages/fleet/test/batch_placement_test.cc
@@ -142,6 +142,18 @@
   std::int64_t queued_total_ = 0;
 };
 
+// Items of a split route waited for a service without servers, although the
+// route has another one; and a share of zero got items like the others.
+TEST(ServicesInTurn, AllSharesButThoseOfZeroAreTried) {
+  using names = std::vector<std::string>;
+  const std::vector<service_share> shares{{"a", 1}, {"b", 0}, {"c", 0.1}};
+  EXPECT_EQ(ServicesInTurn(shares, 0), (names{"a", "c"}));
+  EXPECT_EQ(ServicesInTurn(shares, 1), (names{"c", "a"}));
+  EXPECT_EQ(ServicesInTurn(shares, 2), (names{"a", "c"}));
+  EXPECT_EQ(ServicesInTurn({{"a", 1}}, 7), names{"a"});
+  EXPECT_EQ(ServicesInTurn({{"a", 0}, {"b", 0}}, 7), names{"a"});
+}
+
 // Two workers that take the same slot both stop their items and both try again:
 // one day had 20,000 stops for 500 items.
 TEST(BatchPlacement, WorkersDoNotPreemptEachOtherUnderSteadyLoad) {
--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -175,6 +175,7 @@
       queued_item open;
       open.job = job.stored.record.id;
       open.item = item.id;
+      open.route = job.stored.record.route;
       open.index = i;
       open.limits = limits;
       queue_.Add(std::move(open));
@@ -247,7 +248,8 @@
     StopExcess(servers);
   }
   const std::vector<std::string> workers = LiveWorkers(now);
-  while (StartNextItem(workers, now)) {
+  std::set<std::string> full_routes;
+  while (HandleNextItem(workers, full_routes, now)) {
   }
 }
 
@@ -312,9 +314,28 @@
   }
 }
 
-bool job_runner::StartNextItem(const std::vector<std::string>& workers,
-                               time_point now) {
-  queued_item* item = queue_.TakeNext(now);
+std::optional<backend_status> job_runner::ChooseServer(
+    const service_route& route,
+    const std::vector<std::string>& workers,
+    time_point now) {
+  const auto configuration = host_->current_inventory().configuration();
+  for (const std::string& service :
+       ServicesInTurn(route.services, next_service_++)) {
+    auto server = placement_.Choose(
+        host_->pool().Status(service, now), workers,
+        batch_placement::Reserve(TightestObjective(*configuration, service)),
+        now);
+    if (server) {
+      return server;
+    }
+  }
+  return std::nullopt;
+}
+
+bool job_runner::HandleNextItem(const std::vector<std::string>& workers,
+                                std::set<std::string>& full_routes,
+                                time_point now) {
+  queued_item* item = queue_.TakeNext(now, full_routes);
   if (item == nullptr) {
     return false;
   }
@@ -323,23 +344,17 @@
     queue_.RemoveJob(item->job);
     return true;
   }
-  const auto configuration = host_->current_inventory().configuration();
   const service_route* route = RouteOf(*job);
   if (route == nullptr) {
     HandleMissingRoute(*job, *item, now);
     return true;
   }
   job->route_missing = false;
-  const service_share& share =
-      route->services[next_service_++ % route->services.size()];
-  const auto backend =
-      placement_.Choose(host_->pool().Status(share.service, now), workers,
-                        batch_placement::Reserve(
-                            TightestObjective(*configuration, share.service)),
-                        now);
+  const auto backend = ChooseServer(*route, workers, now);
   if (!backend) {
     item->running = false;
-    return false;
+    full_routes.insert(route->name);
+    return true;
   }
   auto run = std::make_shared<active_item>();
   run->job = item->job;
--- a/packages/gateway/src/gateway/job_runner.h
+++ b/packages/gateway/src/gateway/job_runner.h
@@ -78,7 +78,19 @@
   void RecordResult(owned_job& job, job_item_result entry);
   void StopCancelled(owned_job& job);
   void StopExcess(const std::vector<backend_status>& servers);
-  bool StartNextItem(const std::vector<std::string>& workers, time_point now);
+  /// \brief Handles the item that is due first among the routes that are not
+  /// full.
+  /// \param full_routes  routes found to have no server that can take an item;
+  /// grows by the route of an item that cannot be placed.
+  /// \returns false when no item is left.
+  bool HandleNextItem(const std::vector<std::string>& workers,
+                      std::set<std::string>& full_routes,
+                      time_point now);
+  /// \returns a server that can take an item of \p route now.
+  std::optional<backend_status> ChooseServer(
+      const service_route& route,
+      const std::vector<std::string>& workers,
+      time_point now);
   /// \returns the tightest latency objective of the online routes to a service.
   static std::chrono::milliseconds TightestObjective(
       const service_map& configuration,
--- a/packages/jobs/src/jobs/item_queue.cc
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -84,13 +84,15 @@
   }
 }
 
-queued_item* item_queue::TakeNext(time_point now) {
+queued_item* item_queue::TakeNext(time_point now,
+                                  const std::set<std::string>& full_routes) {
   queued_item* best = nullptr;
   const auto order = [now](const queued_item& item) {
     return std::tuple(now >= item.limits.due, item.limits.due, item.index);
   };
   for (auto& [name, item] : items_) {
     if (!item.running && now >= item.not_before &&
+        !full_routes.contains(item.route) &&
         (best == nullptr || order(item) < order(*best))) {
       best = &item;
     }
--- a/packages/jobs/src/jobs/item_queue.h
+++ b/packages/jobs/src/jobs/item_queue.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -82,6 +83,7 @@
 struct queued_item {
   std::string job;
   std::string item;
+  std::string route;      ///< Name of the batch route of its job.
   std::size_t index = 0;  ///< Position in the job's input.
   item_limits limits;
   int failures = 0;
@@ -106,8 +108,11 @@
   /// Sets the limits of all items of a job.
   void SetLimits(const std::string& job, const item_limits& limits);
 
+  /// \param full_routes  routes whose services cannot take an item now. They
+  /// hold up no items of other routes, however early theirs are due.
   /// \returns the item to run next and marks it as running.
-  queued_item* TakeNext(time_point now);
+  queued_item* TakeNext(time_point now,
+                        const std::set<std::string>& full_routes);
   queued_item* Find(const std::string& job, const std::string& item);
   /// Records how a run ended. An item whose runs break off is still owed and
   /// has not caused it, so its delay stays short however often that happens.
--- a/packages/jobs/test/item_queue_test.cc
+++ b/packages/jobs/test/item_queue_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,15 +14,18 @@
 
 class item_queue_test : public ::testing::Test {
  protected:
-  void Add(const std::string& item, seconds due) {
+  void Add(const std::string& item,
+           seconds due,
+           const std::string& route = "lots") {
     queued_item open;
     open.job = "j";
     open.item = item;
+    open.route = route;
     open.limits = {3, clock_.Now() + due, clock_.Now() + seconds(60)};
     queue_.Add(std::move(open));
   }
-  std::string Next() {
-    queued_item* item = queue_.TakeNext(clock_.Now());
+  std::string Next(const std::set<std::string>& full_routes = {}) {
+    queued_item* item = queue_.TakeNext(clock_.Now(), full_routes);
     return item == nullptr ? "" : item->item;
   }
 
@@ -41,6 +45,20 @@
   EXPECT_EQ(Next(), "");
 }
 
+// Items of a service without servers, due first, kept the items of all other
+// services from their idle servers.
+TEST_F(item_queue_test, Rule01_ItemsOfAFullRouteHoldUpNoOthers) {
+  Add("small-1", seconds(1), "small");
+  Add("small-2", seconds(2), "small");
+  Add("large-1", seconds(5), "large");
+  Add("large-2", seconds(6), "large");
+  EXPECT_EQ(Next({"small"}), "large-1");
+  EXPECT_EQ(Next({"small", "large"}), "");
+  EXPECT_EQ(Next(), "small-1");
+  EXPECT_EQ(Next({"small"}), "large-2");
+  EXPECT_EQ(Next({"small"}), "");
+}
+
 // An item that fails too early is lost to a passing fault; one without a limit
 // of attempts runs for ever.
 TEST_F(item_queue_test, Rule01_FailsOnlyAfterItsMaxAttempts) {
--- a/test/batch_route_test.cc
+++ b/test/batch_route_test.cc
@@ -120,5 +120,52 @@
   EXPECT_EQ(Completed("j1"), kItems) << Log("w1");
 }
 
+/// \brief Batch jobs of two services, of which the second cannot take items.
+class batch_services_test : public platform_fixture {
+ protected:
+  static constexpr int kItems = 8;
+  // The servers of the other service are idle; its items need a fraction of a
+  // second.
+  static constexpr milliseconds kListedWithin{5000};
+
+  void SetUp() override {
+    AddBatchRoute("other", "other");
+    Configure(2, {kKey});
+  }
+
+  /// Submits jobs of the second service and then one of the first. \returns
+  /// whether all items of the last one are listed in time.
+  bool ListsItemsOfTheFirstService() {
+    const host gateway = StartGateway("g1");
+    StartWorker("w1", gateway);
+    for (int job = 0; job < 4; ++job) {
+      const std::string id = "b" + std::to_string(job);
+      EXPECT_EQ(Submit(gateway, id, kItems, id, "other").status, 202);
+    }
+    EXPECT_EQ(Submit(gateway, "j1", kItems, "i").status, 202);
+    return Eventually(
+        [&] {
+          const auto results = Results(gateway, "j1");
+          return results.contains("next") &&
+                 results.at("next").to_number<int>() == kItems;
+        },
+        kListedWithin);
+  }
+};
+
+// Items of a service that has lost its only server kept all other items from
+// their idle servers.
+TEST_F(batch_services_test, Rule01_ServiceWithoutServersHoldsUpNoOther) {
+  EXPECT_TRUE(ListsItemsOfTheFirstService()) << Log("w1");
+}
+
+// The same while the servers of the other service are full.
+TEST_F(batch_services_test, Rule01_FullServiceHoldsUpNoOther) {
+  engines()[1]->SetEvents(2000);
+  RegisterEngine("engine-1", engine_address(1), "ready", "other");
+  EXPECT_TRUE(ListsItemsOfTheFirstService()) << Log("w1");
+  EXPECT_GT(engines()[1]->running(), 0);
+}
+
 }  // namespace
 }  // namespace cardamomyard
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -77,9 +77,10 @@
 
 void platform_fleet::RegisterEngine(const std::string& id,
                                     const host_address& address,
-                                    const std::string& state) {
+                                    const std::string& state,
+                                    const std::string& service) {
   store_->Put("servers", id,
-              json::object{{"service", "lm"},
+              json::object{{"service", service},
                            {"address", address.ToString()},
                            {"zone", "a"},
                            {"slots", size_.slots},
@@ -182,19 +183,20 @@
 http_response platform_fleet::Submit(const host& gateway,
                                      const std::string& job,
                                      int items,
-                                     const std::string& prefix) {
+                                     const std::string& prefix,
+                                     const std::string& route) {
   json::array list;
   for (int i = 0; i < items; ++i) {
     const std::string body = i == 0 ? "impossible" : "do it";
     list.push_back(json::object{{"id", prefix + "-" + std::to_string(i)},
-                                {"path", "/lots/1/x"},
+                                {"path", "/" + route + "/1/x"},
                                 {"headers", json::object{{"Model", "m"}}},
                                 {"body", Base64Encode(body)},
                                 {"tokens", 100}});
   }
   return client_.Call(
       gateway.front,
-      Request("POST", "/lots/" + job, job,
+      Request("POST", "/" + route + "/" + job, job,
               json::serialize(json::object{{"items", std::move(list)}})));
 }
 
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -57,7 +57,8 @@
   /// Writes the entry of a backend server as the server itself does.
   void RegisterEngine(const std::string& id,
                       const host_address& address,
-                      const std::string& state);
+                      const std::string& state,
+                      const std::string& service = "lm");
   /// Writes the configuration: the routes ask (may be repeated), draft (may
   /// not) and lots (batch), and one account with \p keys.
   void Configure(int version, const std::vector<std::string>& keys);
@@ -87,7 +88,8 @@
   http_response Submit(const host& gateway,
                        const std::string& job,
                        int items,
-                       const std::string& prefix);
+                       const std::string& prefix,
+                       const std::string& route = "lots");
   /// \returns one page of the results of \p job, empty when it is not served.
   boost::json::object Results(const host& gateway,
                               const std::string& job,
