--- a/packages/gateway/src/gateway/inventory.cc
+++ b/packages/gateway/src/gateway/inventory.cc
@@ -95,8 +95,13 @@
     listed_records[record.name] = record;
     if (auto entry = codec_->ParseBackend(record)) {
       entries.push_back(std::move(*entry));
+    } else {
+      ReportUnusable(record, entry.error());
     }
   }
+  std::erase_if(reported_entries_, [&listed_records](const auto& reported) {
+    return !listed_records.contains(reported.first);
+  });
   log_.Info("The backend servers have been listed.",
             {{"listed", listed_records.size()},
              {"usable", entries.size()},
@@ -186,10 +191,7 @@
   const auto entry = codec_->ParseBackend(record);
   backend_records_[record.name] = record;
   if (!entry) {
-    log_.Warning("The entry of a backend server cannot be used.",
-                 {{"backend", record.name},
-                  {"revision", record.revision},
-                  {"reason", entry.error().message()}});
+    ReportUnusable(record, entry.error());
     backends_.Remove(record.name, clock_->Now());
     return;
   }
@@ -202,10 +204,22 @@
   backends_.Upsert(*entry, clock_->Now());
 }
 
+void inventory::ReportUnusable(const store_record& record,
+                               const error& reason) {
+  if (std::exchange(reported_entries_[record.name], record.revision) !=
+      record.revision) {
+    log_.Warning("The entry of a backend server cannot be used.",
+                 {{"backend", record.name},
+                  {"revision", record.revision},
+                  {"reason", reason.message()}});
+  }
+}
+
 void inventory::RemoveBackend(const std::string& name, std::uint64_t revision) {
   log_.Info("The entry of a backend server was removed.",
             {{"backend", name}, {"revision", revision}});
   backend_records_.erase(name);
+  reported_entries_.erase(name);
   backends_.Remove(name, clock_->Now());
 }
 
--- a/packages/gateway/src/gateway/inventory.h
+++ b/packages/gateway/src/gateway/inventory.h
@@ -80,6 +80,8 @@
   void ApplyBackendSnapshot(const store_snapshot& snapshot);
   void ApplyBackendChange(const store_change& change, std::uint64_t revision);
   void ApplyBackend(const store_record& record);
+  /// Logs an entry that names no usable server, once for each of its revisions.
+  void ReportUnusable(const store_record& record, const error& reason);
   void RemoveBackend(const std::string& name, std::uint64_t revision);
   void RecordContact(bool in_contact);
   /// Runs \p work on the traffic thread.
@@ -98,6 +100,8 @@
   std::optional<time_point> configuration_read_;
   backend_directory backends_;
   std::map<std::string, store_record> backend_records_;
+  /// Revisions of the entries that were reported as unusable.
+  std::map<std::string, std::uint64_t> reported_entries_;
   std::uint64_t backend_revision_ = 0;
   // Revision of the last snapshot adopted from a peer. Store events with an
   // older revision are ignored.
--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -75,6 +75,28 @@
   Change(kind, name, false);
 }
 
+void platform_store::PutRaw(const std::string& kind,
+                            const std::string& name,
+                            const std::string& text) {
+  const std::string mark = "raw spec " + kind + " " + name;
+  {
+    const std::lock_guard lock(mutex_);
+    raw_specs_["\"" + mark + "\""] = text;
+  }
+  Put(kind, name, json::string(mark));
+}
+
+std::string platform_store::Serialize(const json::value& answer) {
+  std::string text = json::serialize(answer);
+  for (const auto& [mark, spec] : raw_specs_) {
+    for (std::size_t at = text.find(mark); at != std::string::npos;
+         at = text.find(mark, at + spec.size())) {
+      text.replace(at, mark.size(), spec);
+    }
+  }
+  return text;
+}
+
 void platform_store::Erase(const std::string& kind, const std::string& name) {
   const std::lock_guard lock(mutex_);
   if (kinds_[kind].contains(name)) {
@@ -114,10 +136,9 @@
   for (const auto& [id, held] : objects) {
     items.push_back(ToJson(id, held));
   }
-  return JsonResponse(200,
-                      json::serialize(json::object{{"items", std::move(items)},
-                                                   {"has-more", false},
-                                                   {"at", revision_}}));
+  return JsonResponse(200, Serialize(json::object{{"items", std::move(items)},
+                                                  {"has-more", false},
+                                                  {"at", revision_}}));
 }
 
 http_response platform_store::Write(const http_request& request,
@@ -179,8 +200,8 @@
       }
       if (!events.empty() || std::chrono::steady_clock::now() >= end) {
         co_return JsonResponse(
-            200, json::serialize(json::object{{"events", std::move(events)},
-                                              {"at", revision_}}));
+            200, Serialize(json::object{{"events", std::move(events)},
+                                        {"at", revision_}}));
       }
     }
     co_await SleepFor(kWatchPoll);
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -41,6 +41,10 @@
   void Put(const std::string& kind,
            const std::string& name,
            boost::json::value spec);
+  /// Writes \p text in place of a spec, byte for byte, as another writer may.
+  void PutRaw(const std::string& kind,
+              const std::string& name,
+              const std::string& text);
   void Erase(const std::string& kind, const std::string& name);
   /// \returns the spec, or null.
   boost::json::value Spec(const std::string& kind, const std::string& name);
@@ -62,6 +66,8 @@
     boost::json::object entry;
   };
 
+  /// \returns the text of an answer, with the raw specs in their places.
+  std::string Serialize(const boost::json::value& answer);
   static boost::json::object ToJson(const std::string& name,
                                     const object& held);
   void Change(const std::string& kind, const std::string& name, bool removed);
@@ -86,6 +92,8 @@
   std::atomic<int> waiting_writes_{0};
   std::atomic<bool> silent_watches_{false};
   std::string refused_kind_;
+  /// Raw specs by the text that stands for them.
+  std::map<std::string, std::string> raw_specs_;
 };
 
 }  // namespace cardamomyard::standins
