Take no refusal that a server sends twice for the next answer

Cause: an answer without an id was always accepted, and an id does not tell two attempts at the same request on one connection apart. Evidence: server_trouble.Rule09_RefusalThatIsSentTwiceIsNotPassedOn gets a 503 for a request that the server ran on.

Change: a connection with an unnamed error answer is not kept; one with named error answers is not used again for the requests that they name. The check "is this my answer" becomes answer_origin with three values; the tests that used the old one check the same and the new value besides.

Why it works: a copy can only follow its original on the same connection, and a copy that names its request is recognised by any other one.

--- a/packages/gateway/src/gateway/active_item.cc
+++ b/packages/gateway/src/gateway/active_item.cc
@@ -49,11 +49,12 @@
   options.body_timeout = kEventTimeout;
   options.reuse_connection = true;
   options.canceller = run->canceller;
-  const std::function<bool(const header_list&)> is_answer =
+  const std::function<answer_origin(const header_list&)> origin_of =
       [&](const header_list& headers) {
-        return host.codec().IsResponseTo(headers, input.id);
+        return host.codec().OriginOf(headers, input.id);
       };
-  options.is_answer = &is_answer;
+  options.origin_of = &origin_of;
+  options.request_name = input.id;
   const auto mark_interrupted = [&](const error& cause) {
     run_result.ending = cause.ran() == outcome::not_run
                             ? item_run_outcome::refused
--- a/packages/gateway/src/gateway/protocol.h
+++ b/packages/gateway/src/gateway/protocol.h
@@ -96,9 +96,9 @@
   virtual backend_response_head ParseResponseHead(
       int status,
       const header_list& headers) const = 0;
-  /// \returns false when the headers name a request other than \p request_id.
-  virtual bool IsResponseTo(const header_list& headers,
-                            const std::string& request_id) const = 0;
+  /// \returns whether a response with these headers is for \p request_id.
+  virtual answer_origin OriginOf(const header_list& headers,
+                                 const std::string& request_id) const = 0;
   /// \returns the headers of a server's response that are passed to the caller.
   virtual header_list FilterResponseHeaders(
       const header_list& headers) const = 0;
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -257,11 +257,12 @@
   options.reuse_connection = true;
   options.resend_on_stale = request.route->repeatable();
   options.canceller = request.canceller;
-  const std::function<bool(const header_list&)> is_answer =
+  const std::function<answer_origin(const header_list&)> origin_of =
       [&](const header_list& headers) {
-        return host_->codec().IsResponseTo(headers, request.caller.id);
+        return host_->codec().OriginOf(headers, request.caller.id);
       };
-  options.is_answer = &is_answer;
+  options.origin_of = &origin_of;
+  options.request_name = request.caller.id;
   bool written = false;
   const std::function<bool()> may_send = [&] {
     written = !request.caller_left;
--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/execution/context.hpp>
@@ -54,6 +55,9 @@
 // Answers such as 100 (Continue) precede the final one.
 constexpr int kMaxInterimAnswers = 16;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstErrorStatus = 400;
+// A connection with more failed requests is not kept.
+constexpr std::size_t kMaxFailedNames = 16;
 constexpr auto kUseResult = asio::as_tuple(asio::use_awaitable);
 
 using plain_stream = beast::tcp_stream;
@@ -68,6 +72,13 @@
   beast::flat_buffer buffer{kMaxHeaderBytes + kReadChunkBytes};
   bool reused = false;
   std::chrono::steady_clock::time_point usable_until;
+  /// Names of the requests that were answered with an error here.
+  std::vector<std::string> failed_names;
+
+  bool HasFailed(const std::string& name) const {
+    return std::find(failed_names.begin(), failed_names.end(), name) !=
+           failed_names.end();
+  }
 
   /// \returns whether the peer has neither closed nor sent anything.
   bool Quiet() {
@@ -91,16 +102,21 @@
  public:
   using key = std::pair<const void*, host_address>;
 
-  connection_ptr Take(const key& where) {
+  /// \returns an idle connection on which no request \p name has failed.
+  connection_ptr Take(const key& where, const std::string& name) {
     const std::lock_guard lock(mutex_);
     const auto found = idle_.find(where);
     if (found == idle_.end()) {
       return nullptr;
     }
+    std::vector<connection_ptr>& idle = found->second;
     const auto now = std::chrono::steady_clock::now();
-    while (!found->second.empty()) {
-      connection_ptr taken = std::move(found->second.back());
-      found->second.pop_back();
+    for (std::size_t i = idle.size(); i-- > 0;) {
+      if (idle[i]->HasFailed(name)) {
+        continue;
+      }
+      connection_ptr taken = std::move(idle[i]);
+      idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
       if (now < taken->usable_until && taken->Quiet()) {
         taken->reused = true;
         return taken;
@@ -282,10 +298,22 @@
 
  private:
   void KeepConnection() {
-    if (link_ != nullptr && options_.reuse_connection &&
-        parser_->keep_alive()) {
-      pool_->Give(where_, std::move(link_), IdleLife(headers_));
+    if (link_ == nullptr || !options_.reuse_connection ||
+        !parser_->keep_alive()) {
+      return;
+    }
+    if (status() >= kFirstErrorStatus) {
+      // A faulty server may send this answer once more. An unnamed one could
+      // not be told from the answer to the next request.
+      const bool is_named =
+          options_.origin_of != nullptr &&
+          (*options_.origin_of)(headers_) == answer_origin::this_request;
+      if (!is_named || link_->failed_names.size() >= kMaxFailedNames) {
+        return;
+      }
+      link_->failed_names.push_back(options_.request_name);
     }
+    pool_->Give(where_, std::move(link_), IdleLife(headers_));
   }
 
   connection_ptr link_;
@@ -349,7 +377,7 @@
     // Failures of the second attempt keep the outcome of the first.
     outcome ran = outcome::not_run;
     if (options.reuse_connection) {
-      if (connection_ptr kept = pool->Take(where)) {
+      if (connection_ptr kept = pool->Take(where, options.request_name)) {
         auto answer = co_await Exchange(std::move(kept), server, request,
                                         options, head_deadline, pool, where);
         // The server may have closed the kept connection in the meantime.
@@ -470,8 +498,9 @@
         co_return Fail(call.error());
       }
       const bool is_interim = (*call)->status() < kFirstFinalStatus;
-      if (!is_interim && (options.is_answer == nullptr ||
-                          (*options.is_answer)((*call)->headers()))) {
+      if (!is_interim && (options.origin_of == nullptr ||
+                          (*options.origin_of)((*call)->headers()) !=
+                              answer_origin::other_request)) {
         (*call)->TakeConnection(std::move(link));
         co_return std::move(*call);
       }
--- a/packages/net/src/net/http_client.h
+++ b/packages/net/src/net/http_client.h
@@ -39,6 +39,13 @@
   std::function<void()> close_;
 };
 
+/// \brief Which request a message answers, by its headers.
+enum class answer_origin {
+  this_request,
+  other_request,
+  unnamed,  ///< The headers name no request.
+};
+
 /// \brief Time limits and connection use of one call.
 struct call_options {
   std::chrono::milliseconds connect_timeout{1000};
@@ -57,10 +64,14 @@
   /// Asked just before the first byte is written; false ends the call with
   /// `not_run`. It must outlive the call. Null allows every call.
   const std::function<bool()>* may_send = nullptr;
-  /// Asked for each message that arrives; false skips the message and waits for
-  /// the next one, as a server may send a stray answer to an earlier request.
-  /// It must outlive the call. Null accepts every message.
-  const std::function<bool(const header_list&)>* is_answer = nullptr;
+  /// Asked for each message that arrives. One that answers another request is
+  /// skipped, as a server may send a stray answer to an earlier one. It must
+  /// outlive the call. Null takes every message for an unnamed answer.
+  const std::function<answer_origin(const header_list&)>* origin_of = nullptr;
+  /// Name of the request, for servers that repeat it in their answers. A
+  /// connection on which a request of this name has failed is not used for it
+  /// again: the server may send that answer once more.
+  std::string request_name;
   /// Lets another coroutine of the same thread end the call before its head has
   /// arrived. Null when nobody does.
   std::shared_ptr<call_canceller> canceller;
--- a/packages/net/test/http_test.cc
+++ b/packages/net/test/http_test.cc
@@ -135,10 +135,13 @@
     asio::read(socket, asio::dynamic_buffer(request), ignored);
   });
   client_ = std::move(*http_client::Create());
-  const std::function<bool(const header_list&)> mine =
-      [](const header_list& headers) { return headers.Get("Id") == "mine"; };
+  const std::function<answer_origin(const header_list&)> mine =
+      [](const header_list& headers) {
+        return headers.Get("Id") == "mine" ? answer_origin::this_request
+                                           : answer_origin::other_request;
+      };
   call_options options;
-  options.is_answer = &mine;
+  options.origin_of = &mine;
   const auto answer =
       Run(client_->Fetch(host_address::Make("127.0.0.1", port), {}, options));
   client_.reset();
--- a/packages/net/test/server_faults_test.cc
+++ b/packages/net/test/server_faults_test.cc
@@ -1,6 +1,7 @@
 // The client against servers that send wrong, late or endless bytes.
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <chrono>
@@ -28,6 +29,17 @@
 // What the client and the sockets on loopback may hold.
 constexpr std::size_t kMaxAcceptedBytes = 16U << 20U;
 
+/// \returns what tells the answers to the request \p id by their header "Id".
+std::function<answer_origin(const header_list&)> OriginFor(
+    const std::string& id) {
+  return [id](const header_list& headers) {
+    const auto named = headers.Get("Id");
+    return !named         ? answer_origin::unnamed
+           : *named == id ? answer_origin::this_request
+                          : answer_origin::other_request;
+  };
+}
+
 class server_faults : public ::testing::Test {
  protected:
   ~server_faults() override { client_.reset(); }
@@ -105,11 +117,10 @@
 }
 
 TEST_F(server_faults, EndlessStrayAnswersAreRefused) {
-  const std::function<bool(const header_list&)> none = [](const header_list&) {
-    return false;
-  };
+  const std::function<answer_origin(const header_list&)> none =
+      [](const header_list&) { return answer_origin::other_request; };
   call_options options;
-  options.is_answer = &none;
+  options.origin_of = &none;
   ExpectEndlessBytesAreRefused("",
                                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
                                "stray",
@@ -187,10 +198,9 @@
     peer.Send("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nstray");
     peer.WaitForClose();
   });
-  const std::function<bool(const header_list&)> mine =
-      [](const header_list& headers) { return headers.Get("Id") == "mine"; };
+  const auto mine = OriginFor("mine");
   call_options options;
-  options.is_answer = &mine;
+  options.origin_of = &mine;
   options.head_timeout = kLimit;
   const auto answer = Fetch(options);
   ASSERT_FALSE(answer);
@@ -218,11 +228,10 @@
   });
   for (int i = 0; i < 4; ++i) {
     const std::string id = "request-" + std::to_string(i);
-    const std::function<bool(const header_list&)> mine =
-        [&id](const header_list& headers) { return headers.Get("Id") == id; };
+    const auto mine = OriginFor(id);
     call_options options;
     options.reuse_connection = true;
-    options.is_answer = &mine;
+    options.origin_of = &mine;
     http_request request;
     request.headers.Add("Id", id);
     const auto answer = Fetch(options, 1000, request);
@@ -233,6 +242,48 @@
   EXPECT_EQ(server_->connections(), 2);
 }
 
+// A faulty server wrote an earlier refusal once more on a kept connection; the
+// request that it was running then was taken for refused.
+TEST_F(server_faults, Rule09_RefusalThatIsSentTwiceIsNotTheNextAnswer) {
+  for (const bool named : {true, false}) {
+    for (const bool same_request : {true, false}) {
+      std::atomic<bool> refused{false};
+      server_ = std::make_unique<raw_server>([&](raw_peer& peer) {
+        std::string refusal;
+        for (std::string head = peer.ReadRequest(); !head.empty();
+             head = peer.ReadRequest()) {
+          const std::string id = "Id: " + HeaderOf(head, "Id") + "\r\n";
+          if (!refused.exchange(true)) {
+            refusal = "HTTP/1.1 503 Full\r\n" + (named ? id : "") +
+                      "Content-Length: 0\r\n\r\n";
+            peer.Send(refusal);
+            continue;
+          }
+          peer.Send(refusal);
+          peer.Send("HTTP/1.1 200 OK\r\n" + id +
+                    "Content-Length: 3\r\n\r\nown");
+        }
+      });
+      for (const bool first : {true, false}) {
+        const std::string id = first || same_request ? "a" : "b";
+        const auto origin = OriginFor(id);
+        call_options options;
+        options.reuse_connection = true;
+        options.origin_of = &origin;
+        options.request_name = id;
+        http_request request;
+        request.headers.Add("Id", id);
+        const auto answer = Fetch(options, 1000, request);
+        ASSERT_TRUE(answer) << answer.error().message();
+        EXPECT_EQ(answer->status, first ? 503 : 200)
+            << "named " << named << ", same request " << same_request;
+      }
+      // A connection with a named refusal serves other requests.
+      EXPECT_EQ(server_->connections(), named && !same_request ? 1 : 2);
+    }
+  }
+}
+
 // The request may have run on the kept connection, so a second attempt that
 // cannot connect must not claim that it has not.
 TEST_F(server_faults, Rule09_FailedSecondAttemptKeepsTheOutcomeOfTheFirst) {
--- a/test/server_trouble_test.cc
+++ b/test/server_trouble_test.cc
@@ -8,6 +8,8 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -263,5 +265,38 @@
   }
 }
 
+// A faulty server wrote an earlier refusal once more on a kept connection.
+// Callers were told "not run" for the request that the server was running.
+TEST_F(server_trouble, Rule09_RefusalThatIsSentTwiceIsNotPassedOn) {
+  std::mutex mutex;
+  std::set<std::string> runs;
+  const raw_peer* refused_on = nullptr;
+  ServeOnly([&](raw_peer& peer, const std::string& id) {
+    const std::string refusal =
+        "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::lock_guard lock(mutex);
+    if (refused_on == nullptr) {
+      refused_on = &peer;
+      peer.Send(refusal);
+      return;
+    }
+    if (refused_on == &peer) {
+      peer.Send(refusal);
+    }
+    runs.insert(id);
+    peer.Send(StreamHead(id) + EventChunk(1) + "0\r\n\r\n");
+  });
+  const host gateway = StartGateway("g1");
+  for (int i = 0; asked_ < 4 && i < 200; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto answer =
+        client().Stream(gateway.front, Request("POST", "/draft/1", id, "x"));
+    const std::lock_guard lock(mutex);
+    EXPECT_FALSE(answer.status == 503 && runs.contains(id)) << Log("g1");
+  }
+  EXPECT_GE(asked_, 4);
+  trouble_.reset();
+}
+
 }  // namespace
 }  // namespace cardamomyard
