Join to a stream only what goes on with it

Other operators reported it, and it could happen here: a stream breaks off, the next server answers 200 with an error, and callers find the error's text in their stream, or a stream that ends as if it were whole. Batch items were completed with a part of their text.

Cause: after a 200 any bytes were taken for events; those without an id were passed on, and a blank line or an empty body was a proper end.

Change: an answer that is declared as another type than a stream of events never goes on with one; an answer that goes on has to begin with an event that has an id, the end of the stream or comments (MayResumeStream()). An item whose answer has text but no event with an id runs again.

Why it works: the ids are what ties the two parts together, and an error has none that follows the last one.

--- a/packages/gateway/src/gateway/active_item.cc
+++ b/packages/gateway/src/gateway/active_item.cc
@@ -91,7 +91,13 @@
     (*call)->Cancel();
     mark_interrupted(error::Make(error_kind::backend_failed, reason));
   };
+  if (!head.may_be_stream) {
+    break_off("the answer is no stream of events");
+    co_return run_result;
+  }
   event_reader reader;
+  bool resumed = !run_result.any_event;
+  bool has_unnamed_events = false;
   time_point last_progress = host.time().Now();
   while (true) {
     if (run->stopped) {
@@ -113,9 +119,15 @@
       break;
     }
     for (stream_event& event : reader.Feed(*chunk)) {
+      if (!resumed && !MayResumeStream(event)) {
+        break_off("the answer does not resume the stream");
+        co_return run_result;
+      }
       if (!event.id) {
+        has_unnamed_events |= !MayResumeStream(event);
         continue;
       }
+      resumed = true;
       if (run_result.any_event && *event.id <= run_result.last_event) {
         break_off("an event repeats an earlier id");
         co_return run_result;
@@ -135,9 +147,11 @@
       co_return run_result;
     }
   }
-  // Without a length an answer also ends where its server crashes.
+  // Without a length an answer also ends where its server crashes. One with
+  // text but without any numbered event is an error's.
   const bool may_be_cut =
-      (*call)->ends_with_connection() && !run_result.any_event;
+      ((*call)->ends_with_connection() || has_unnamed_events) &&
+      !run_result.any_event;
   if (!reader.at_boundary() || may_be_cut) {
     mark_interrupted(
         error::Make(error_kind::backend_failed, "the stream ended early"));
--- a/packages/gateway/src/gateway/protocol.h
+++ b/packages/gateway/src/gateway/protocol.h
@@ -65,6 +65,8 @@
   bool executed = true;
   /// Whether the address now belongs to another server.
   bool misdirected = false;
+  /// False when its body is declared as something else than a stream of events.
+  bool may_be_stream = true;
 };
 
 /// \brief Translates between the platform's messages and the system's types.
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -369,14 +369,16 @@
                {"status", head.status}});
     co_return next_step::retry;
   }
-  if (request.route->kind == route_kind::streaming && head.status == 200) {
+  if (request.route->kind == route_kind::streaming && head.status == 200 &&
+      head.may_be_stream) {
     co_return co_await RelayStream(request, backend, call);
   }
   if (request.head_sent) {
     co_return co_await HandleBrokenAttempt(
         request, backend,
         error::Make(error_kind::backend_failed,
-                    "status " + std::to_string(head.status)));
+                    "status " + std::to_string(head.status) +
+                        " does not go on with the stream"));
   }
   call.LimitReads(request.deadline - host_->time().Now());
   co_return co_await RelayBuffered(request, backend, call);
@@ -411,6 +413,8 @@
   event_reader reader;
   error cause =
       error::Make(error_kind::backend_failed, "the stream ended early");
+  // Whether the answer is known to go on where the caller's stream broke off.
+  bool resumed = !request.head_sent;
   // Bytes that complete no event, and comments, are no progress: a stalled
   // server may send them for ever.
   time_point last_progress = host_->time().Now();
@@ -444,12 +448,15 @@
     }
     std::string events;
     bool out_of_order = false;
+    bool unrelated = false;
     bool progressed = false;
     for (const stream_event& event : reader.Feed(*chunk)) {
       out_of_order = event.id && !Continues(request, *event.id);
-      if (out_of_order) {
+      unrelated = !resumed && !MayResumeStream(event);
+      if (out_of_order || unrelated) {
         break;
       }
+      resumed |= event.id.has_value();
       events += event.raw;
       if (event.id) {
         request.last_event = event.id;
@@ -481,9 +488,10 @@
       // After the write, as a slow caller is not the server's fault.
       last_progress = host_->time().Now();
     }
-    if (out_of_order || reader.too_large()) {
+    if (out_of_order || unrelated || reader.too_large()) {
       cause = error::Make(error_kind::backend_failed,
                           out_of_order ? "an event repeats an earlier id"
+                          : unrelated  ? "the answer does not resume the stream"
                                        : "an event has no end");
       break;
     }
--- a/test/server_trouble_test.cc
+++ b/test/server_trouble_test.cc
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "platform_fixture.h"
 #include "raw/raw_server.h"
@@ -46,6 +47,15 @@
                "\ndata: " + platform_engine::Event(number) + "\n\n");
 }
 
+int CountOf(const std::string& text, const std::string& part) {
+  int count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
 /// \returns the largest memory that a process has taken so far.
 std::size_t PeakMegabytes(const child_process& process) {
   std::ifstream file("/proc/" + std::to_string(process.pid()) + "/status");
@@ -298,5 +308,87 @@
   trouble_.reset();
 }
 
+constexpr const char* kErrorText = "error-text";
+
+std::string PlainAnswer(const std::string& status,
+                        const std::string& headers,
+                        const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// What a server answers that is asked to go on with a stream. The texts end
+/// as events do.
+std::vector<std::string> ErrorAnswers(const std::string& id) {
+  const std::string text = std::string(kErrorText) + "\n\n";
+  const std::string name = "Request-Id: " + id + "\r\n";
+  const std::string json = name + "Content-Type: application/json\r\n";
+  return {PlainAnswer("503 Service Unavailable", json, text),
+          PlainAnswer("503 Service Unavailable",
+                      name + "Not-Executed: 1\r\n" + json, text),
+          PlainAnswer("500 Internal Server Error", json, text),
+          PlainAnswer("404 Not Found", json, text),
+          PlainAnswer("200 OK", json, text),
+          PlainAnswer("200 OK", json, ""),
+          PlainAnswer("200 OK", name, text),
+          StreamHead(id) + Chunk("data: " + text) + "0\r\n\r\n",
+          StreamHead(id) + Chunk("HTTP/1.1 503 Gone\r\nX: 1\r\n\r\n" + text) +
+              "0\r\n\r\n"};
+}
+
+// A stream had begun and broke off, and the next server answered with an error:
+// callers got the error's text in their stream, or a stream that ended as if it
+// were whole.
+TEST_F(server_trouble, Rule08_ErrorOfTheNextServerIsNoPartOfAStream) {
+  for (std::size_t i = 0; i < ErrorAnswers("").size(); ++i) {
+    asked_ = 0;
+    ServeOnly([this, i](raw_peer& peer, const std::string& id) {
+      if (asked_ == 1) {
+        peer.Send(StreamHead(id) + EventChunk(1) + EventChunk(2));
+        peer.Reset();
+        return;
+      }
+      peer.Send(ErrorAnswers(id)[i]);
+    });
+    const std::string name = "g" + std::to_string(i);
+    const host gateway = StartGateway(name);
+    const auto answer = CallInTime(gateway, "/ask/1");
+    EXPECT_GT(asked_, 1) << i;
+    EXPECT_EQ(CountOf(answer.body, "id: "), 2) << i << answer.body;
+    EXPECT_EQ(CountOf(answer.body, kErrorText), 0) << i << answer.body;
+    EXPECT_EQ(CountOf(answer.body, "HTTP/1.1"), 0) << i << answer.body;
+    EXPECT_FALSE(answer.whole) << i << Log(name);
+    gateway.process->Kill();
+  }
+}
+
+// The same for batch items, which were completed with the part that they had.
+TEST_F(server_trouble, Rule08_ItemIsNotCompletedByAnErrorOfTheNextServer) {
+  const host gateway = StartGateway("g");
+  StartWorker("w", gateway);
+  for (std::size_t i = 0; i < ErrorAnswers("").size(); ++i) {
+    asked_ = 0;
+    ServeOnly([this, i](raw_peer& peer, const std::string& id) {
+      if (asked_ == 1) {
+        peer.Send(StreamHead(id) + EventChunk(1) + EventChunk(2));
+        peer.Reset();
+        return;
+      }
+      SetSoundServers("ready");
+      peer.Send(ErrorAnswers(id)[i]);
+    });
+    const std::string job = "j" + std::to_string(i);
+    ASSERT_EQ(Submit(gateway, job, 2, job).status, 202);
+    ASSERT_TRUE(AllListed(gateway, job, 2)) << i << Log("w");
+    const auto results = Results(gateway, job);
+    for (const auto& value : results.at("results").as_array()) {
+      const auto& entry = value.as_object();
+      if (entry.at("state").as_string() == "completed") {
+        EXPECT_EQ(std::string(entry.at("text").as_string()), WholeText()) << i;
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace cardamomyard
