Ask each full service once in a pass of the batch scheduler

Each pass of the scheduler looked through the whole queue once for each route whose services are full, and once for each item whose route is not known or was removed. With many items of such a route, or many routes of one full service, the passes every 25 ms would have taken most of the worker's time.

Change: a pass remembers full services and holds all routes that have no other one; a route that is not known yet is held as a whole; the waiting items of a job whose route was removed are given up together, with one line in the log.

The time of a pass was not measured.

--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -14,8 +14,6 @@
 constexpr std::chrono::milliseconds kInitialRetryDelay{80};
 constexpr std::chrono::milliseconds kMaxRetryDelay{1000};
 constexpr std::size_t kLoadPageBytes = 4U << 20U;
-// A read of the configuration takes some milliseconds.
-constexpr std::chrono::milliseconds kRouteRetryDelay{50};
 
 }  // namespace
 
@@ -247,9 +245,8 @@
     placement_.Observe(servers, now);
     StopExcess(servers);
   }
-  const std::vector<std::string> workers = LiveWorkers(now);
-  std::set<std::string> full_routes;
-  while (HandleNextItem(workers, full_routes, now)) {
+  schedule_pass pass{now, LiveWorkers(now), {}, {}};
+  while (HandleNextItem(pass)) {
   }
 }
 
@@ -316,26 +313,41 @@
 
 std::optional<backend_status> job_runner::ChooseServer(
     const service_route& route,
-    const std::vector<std::string>& workers,
-    time_point now) {
+    schedule_pass& pass) {
   const auto configuration = host_->current_inventory().configuration();
   for (const std::string& service :
        ServicesInTurn(route.services, next_service_++)) {
+    if (pass.full_services.contains(service)) {
+      continue;
+    }
     auto server = placement_.Choose(
-        host_->pool().Status(service, now), workers,
+        host_->pool().Status(service, pass.now), pass.workers,
         batch_placement::Reserve(TightestObjective(*configuration, service)),
-        now);
+        pass.now);
     if (server) {
       return server;
     }
+    pass.full_services.insert(service);
   }
   return std::nullopt;
 }
 
-bool job_runner::HandleNextItem(const std::vector<std::string>& workers,
-                                std::set<std::string>& full_routes,
-                                time_point now) {
-  queued_item* item = queue_.TakeNext(now, full_routes);
+void job_runner::HoldFullRoutes(schedule_pass& pass) const {
+  const auto configuration = host_->current_inventory().configuration();
+  for (const service_route& route : configuration->routes()) {
+    const auto services = ServicesInTurn(route.services, 0);
+    if (route.kind == route_kind::batch &&
+        std::all_of(services.begin(), services.end(),
+                    [&pass](const std::string& service) {
+                      return pass.full_services.contains(service);
+                    })) {
+      pass.held_routes.insert(route.name);
+    }
+  }
+}
+
+bool job_runner::HandleNextItem(schedule_pass& pass) {
+  queued_item* item = queue_.TakeNext(pass.now, pass.held_routes);
   if (item == nullptr) {
     return false;
   }
@@ -346,14 +358,16 @@
   }
   const service_route* route = RouteOf(*job);
   if (route == nullptr) {
-    HandleMissingRoute(*job, *item, now);
+    item->running = false;
+    HandleMissingRoute(*job, pass);
     return true;
   }
   job->route_missing = false;
-  const auto backend = ChooseServer(*route, workers, now);
+  const auto backend = ChooseServer(*route, pass);
   if (!backend) {
     item->running = false;
-    full_routes.insert(route->name);
+    pass.held_routes.insert(route->name);
+    HoldFullRoutes(pass);
     return true;
   }
   auto run = std::make_shared<active_item>();
@@ -362,16 +376,17 @@
   run->backend = backend->entry;
   run->canceller = std::make_shared<call_canceller>();
   active_items_[{item->job, item->item}] = run;
-  placement_.RecordStart(run->backend.id, now);
-  log_.Info("A batch item goes to a server.",
-            {{"job", item->job},
-             {"item", item->item},
-             {"backend", run->backend.id},
-             {"from_event", item->last_event},
-             {"online", backend->online},
-             {"batch", backend->batch},
-             {"slots", run->backend.slots},
-             {"load_age_ms", host_->peers().OldestDigestAge(now).count()}});
+  placement_.RecordStart(run->backend.id, pass.now);
+  log_.Info(
+      "A batch item goes to a server.",
+      {{"job", item->job},
+       {"item", item->item},
+       {"backend", run->backend.id},
+       {"from_event", item->last_event},
+       {"online", backend->online},
+       {"batch", backend->batch},
+       {"slots", run->backend.slots},
+       {"load_age_ms", host_->peers().OldestDigestAge(pass.now).count()}});
   host_->RecordStart(run->backend.id, work_class::batch);
   asio::co_spawn(
       host_->traffic(),
@@ -381,26 +396,27 @@
   return true;
 }
 
-void job_runner::HandleMissingRoute(owned_job& job,
-                                    queued_item& item,
-                                    time_point now) {
+void job_runner::HandleMissingRoute(owned_job& job, schedule_pass& pass) {
   const inventory& known = host_->current_inventory();
+  const std::string id = job.stored.record.id;
   const std::string& route = job.stored.record.route;
   if (StateOfRoute(false, known.configuration_read(), job.first_seen) ==
       route_state::removed) {
-    log_.Warning("The route of a batch item was removed.",
-                 {{"job", item.job},
-                  {"item", item.item},
+    const std::vector<std::string> items = queue_.Waiting(id);
+    log_.Warning("The route of a batch job was removed.",
+                 {{"job", id},
+                  {"items", items.size()},
                   {"route", route},
                   {"configuration", known.configuration()->version()}});
-    RecordResult(job, {item.item, false, ""});
+    for (const std::string& item : items) {
+      RecordResult(job, {item, false, ""});
+    }
     return;
   }
-  item.running = false;
-  item.not_before = now + kRouteRetryDelay;
+  pass.held_routes.insert(route);
   if (!std::exchange(job.route_missing, true)) {
     log_.Info("A batch job waits until its route is known.",
-              {{"job", item.job},
+              {{"job", id},
                {"route", route},
                {"configuration", known.configuration()->version()}});
   }
--- a/packages/gateway/src/gateway/job_runner.h
+++ b/packages/gateway/src/gateway/job_runner.h
@@ -78,19 +78,23 @@
   void RecordResult(owned_job& job, job_item_result entry);
   void StopCancelled(owned_job& job);
   void StopExcess(const std::vector<backend_status>& servers);
-  /// \brief Handles the item that is due first among the routes that are not
-  /// full.
-  /// \param full_routes  routes found to have no server that can take an item;
-  /// grows by the route of an item that cannot be placed.
-  /// \returns false when no item is left.
-  bool HandleNextItem(const std::vector<std::string>& workers,
-                      std::set<std::string>& full_routes,
-                      time_point now);
+  /// What one pass of Schedule() has found.
+  struct schedule_pass {
+    time_point now;
+    std::vector<std::string> workers;
+    /// Services without a server that can take an item.
+    std::set<std::string> full_services;
+    /// Routes whose items have to wait.
+    std::set<std::string> held_routes;
+  };
+  /// Starts or fails the item that is due first among the routes that are not
+  /// held, or holds its route. \returns false when no item is left.
+  bool HandleNextItem(schedule_pass& pass);
   /// \returns a server that can take an item of \p route now.
-  std::optional<backend_status> ChooseServer(
-      const service_route& route,
-      const std::vector<std::string>& workers,
-      time_point now);
+  std::optional<backend_status> ChooseServer(const service_route& route,
+                                             schedule_pass& pass);
+  /// Holds all batch routes whose services are full.
+  void HoldFullRoutes(schedule_pass& pass) const;
   /// \returns the tightest latency objective of the online routes to a service.
   static std::chrono::milliseconds TightestObjective(
       const service_map& configuration,
@@ -102,9 +106,9 @@
   /// \returns the route of a job; nothing while it is not configured.
   const service_route* RouteOf(const owned_job& job) const;
   item_limits LimitsOfItems(const owned_job& job) const;
-  /// Fails an item whose route was removed; delays one whose route this worker
-  /// may not know yet, and reads the configuration.
-  void HandleMissingRoute(owned_job& job, queued_item& item, time_point now);
+  /// Fails the waiting items of a job whose route was removed. Holds a route
+  /// that this worker may not know yet, and reads the configuration.
+  void HandleMissingRoute(owned_job& job, schedule_pass& pass);
   boost::asio::awaitable<void> ReadConfiguration();
 
   host_runtime* host_;
--- a/packages/jobs/src/jobs/item_queue.cc
+++ b/packages/jobs/src/jobs/item_queue.cc
@@ -84,15 +84,26 @@
   }
 }
 
+std::vector<std::string> item_queue::Waiting(const std::string& job) const {
+  std::vector<std::string> items;
+  for (auto item = items_.lower_bound(key{job, ""});
+       item != items_.end() && item->first.first == job; ++item) {
+    if (!item->second.running) {
+      items.push_back(item->first.second);
+    }
+  }
+  return items;
+}
+
 queued_item* item_queue::TakeNext(time_point now,
-                                  const std::set<std::string>& full_routes) {
+                                  const std::set<std::string>& held_routes) {
   queued_item* best = nullptr;
   const auto order = [now](const queued_item& item) {
     return std::tuple(now >= item.limits.due, item.limits.due, item.index);
   };
   for (auto& [name, item] : items_) {
     if (!item.running && now >= item.not_before &&
-        !full_routes.contains(item.route) &&
+        !held_routes.contains(item.route) &&
         (best == nullptr || order(item) < order(*best))) {
       best = &item;
     }
--- a/packages/jobs/src/jobs/item_queue.h
+++ b/packages/jobs/src/jobs/item_queue.h
@@ -108,11 +108,13 @@
   /// Sets the limits of all items of a job.
   void SetLimits(const std::string& job, const item_limits& limits);
 
-  /// \param full_routes  routes whose services cannot take an item now. They
-  /// hold up no items of other routes, however early theirs are due.
+  /// \param held_routes  routes whose items have to wait. They hold up no items
+  /// of other routes, however early theirs are due.
   /// \returns the item to run next and marks it as running.
   queued_item* TakeNext(time_point now,
-                        const std::set<std::string>& full_routes);
+                        const std::set<std::string>& held_routes);
+  /// \returns the items of a job that are not running.
+  std::vector<std::string> Waiting(const std::string& job) const;
   queued_item* Find(const std::string& job, const std::string& item);
   /// Records how a run ended. An item whose runs break off is still owed and
   /// has not caused it, so its delay stays short however often that happens.
--- a/packages/jobs/test/item_queue_test.cc
+++ b/packages/jobs/test/item_queue_test.cc
@@ -24,8 +24,8 @@
     open.limits = {3, clock_.Now() + due, clock_.Now() + seconds(60)};
     queue_.Add(std::move(open));
   }
-  std::string Next(const std::set<std::string>& full_routes = {}) {
-    queued_item* item = queue_.TakeNext(clock_.Now(), full_routes);
+  std::string Next(const std::set<std::string>& held_routes = {}) {
+    queued_item* item = queue_.TakeNext(clock_.Now(), held_routes);
     return item == nullptr ? "" : item->item;
   }
 
@@ -47,7 +47,7 @@
 
 // Items of a service without servers, due first, kept the items of all other
 // services from their idle servers.
-TEST_F(item_queue_test, Rule01_ItemsOfAFullRouteHoldUpNoOthers) {
+TEST_F(item_queue_test, Rule01_ItemsOfAHeldRouteHoldUpNoOthers) {
   Add("small-1", seconds(1), "small");
   Add("small-2", seconds(2), "small");
   Add("large-1", seconds(5), "large");
@@ -55,6 +55,8 @@
   EXPECT_EQ(Next({"small"}), "large-1");
   EXPECT_EQ(Next({"small", "large"}), "");
   EXPECT_EQ(Next(), "small-1");
+  EXPECT_EQ(queue_.Waiting("j"),
+            (std::vector<std::string>{"large-2", "small-2"}));
   EXPECT_EQ(Next({"small"}), "large-2");
   EXPECT_EQ(Next({"small"}), "");
 }
