--- a/test/server_trouble_test.cc
+++ b/test/server_trouble_test.cc
@@ -336,20 +336,31 @@
               "0\r\n\r\n"};
 }
 
-// A stream had begun and broke off, and the next server answered with an error:
-// callers got the error's text in their stream, or a stream that ended as if it
-// were whole.
-TEST_F(server_trouble, Rule08_ErrorOfTheNextServerIsNoPartOfAStream) {
-  for (std::size_t i = 0; i < ErrorAnswers("").size(); ++i) {
+class resume_trouble : public server_trouble {
+ protected:
+  /// Serves a stream that breaks off, then calls \p before and gives the error
+  /// answer \p number.
+  void BreakOffAndAnswer(std::size_t number, std::function<void()> before) {
     asked_ = 0;
-    ServeOnly([this, i](raw_peer& peer, const std::string& id) {
+    ServeOnly([this, number, before = std::move(before)](
+                  raw_peer& peer, const std::string& id) {
       if (asked_ == 1) {
         peer.Send(StreamHead(id) + EventChunk(1) + EventChunk(2));
         peer.Reset();
         return;
       }
-      peer.Send(ErrorAnswers(id)[i]);
+      before();
+      peer.Send(ErrorAnswers(id)[number]);
     });
+  }
+};
+
+// A stream had begun and broke off, and the next server answered with an error:
+// callers got the error's text in their stream, or a stream that ended as if it
+// were whole.
+TEST_F(resume_trouble, Rule08_ErrorOfTheNextServerIsNoPartOfAStream) {
+  for (std::size_t i = 0; i < ErrorAnswers("").size(); ++i) {
+    BreakOffAndAnswer(i, [] {});
     const std::string name = "g" + std::to_string(i);
     const host gateway = StartGateway(name);
     const auto answer = CallInTime(gateway, "/ask/1");
@@ -363,20 +374,11 @@
 }
 
 // The same for batch items, which were completed with the part that they had.
-TEST_F(server_trouble, Rule08_ItemIsNotCompletedByAnErrorOfTheNextServer) {
+TEST_F(resume_trouble, Rule08_ItemIsNotCompletedByAnErrorOfTheNextServer) {
   const host gateway = StartGateway("g");
   StartWorker("w", gateway);
   for (std::size_t i = 0; i < ErrorAnswers("").size(); ++i) {
-    asked_ = 0;
-    ServeOnly([this, i](raw_peer& peer, const std::string& id) {
-      if (asked_ == 1) {
-        peer.Send(StreamHead(id) + EventChunk(1) + EventChunk(2));
-        peer.Reset();
-        return;
-      }
-      SetSoundServers("ready");
-      peer.Send(ErrorAnswers(id)[i]);
-    });
+    BreakOffAndAnswer(i, [this] { SetSoundServers("ready"); });
     const std::string job = "j" + std::to_string(i);
     ASSERT_EQ(Submit(gateway, job, 2, job).status, 202);
     ASSERT_TRUE(AllListed(gateway, job, 2)) << i << Log("w");
