Report bytes of callers that get no answer

A server now reports a connection that ends with bytes of its caller that get no complete answer: in a head, in the handler, or behind the server's own close. The gateway logs each with the request id if the head is whole, the stage and the reason, and counts them by stage (cardamomyard_unanswered_total).

--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -103,6 +103,9 @@
     }
     http_server_options options;
     options.listen = *settings.caller_listen;
+    options.on_unanswered = [this](const unanswered_bytes& unanswered) {
+      LogUnanswered(unanswered);
+    };
     auto callers = http_server::Create(
         options, host_->traffic_threads(),
         [this](http_exchange& exchange) { return Handle(exchange); });
@@ -111,6 +114,7 @@
     }
     caller_server_ = std::move(*callers);
     options.listen = *settings.ready_listen;
+    options.on_unanswered = nullptr;
     auto readiness = http_server::Create(
         options, host_->traffic_threads(),
         [this](http_exchange& exchange) { return HandleReadiness(exchange); });
@@ -121,6 +125,25 @@
     return {};
   }
 
+  void LogUnanswered(const unanswered_bytes& unanswered) {
+    std::string id;
+    if (unanswered.head) {
+      const auto caller = host_->codec().ParseInboundRequest(*unanswered.head);
+      id = caller ? caller->id : "";
+    }
+    log_.Warning("A connection ends without an answer to bytes of its caller.",
+                 {{"request", id},
+                  {"stage", ToString(unanswered.where)},
+                  {"whole_head", unanswered.head ? "yes" : "no"},
+                  {"bytes", unanswered.bytes},
+                  {"reason", unanswered.reason},
+                  {"stopping", stopping_ ? "yes" : "no"}});
+    host_->metrics()
+        .Counter("cardamomyard_unanswered_total",
+                 {{"stage", std::string(ToString(unanswered.where))}})
+        .Add();
+  }
+
   void RunOnTrafficThread(const std::function<void()>& work) {
     std::promise<void> done;
     asio::post(host_->traffic(), [&] {
--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -53,6 +53,19 @@
 using plain_stream = beast::tcp_stream;
 using tls_stream = beast::ssl_stream<beast::tcp_stream>;
 
+/// Copies the fields of a parsed head.
+template <class Head>
+http_request CopyHead(const Head& head) {
+  http_request request;
+  request.method = std::string(head.method_string());
+  request.target = std::string(head.target());
+  for (const auto& field : head) {
+    request.headers.Add(std::string(field.name_string()),
+                        std::string(field.value()));
+  }
+  return request;
+}
+
 template <class Stream>
 class exchange final : public http_exchange {
  public:
@@ -68,14 +81,8 @@
         parser_(parser),
         state_(state),
         remote_ip_(std::move(remote_ip)) {
-    const auto& head = parser_.get();
-    request_.method = std::string(head.method_string());
-    request_.target = std::string(head.target());
-    for (const auto& field : head) {
-      request_.headers.Add(std::string(field.name_string()),
-                           std::string(field.value()));
-    }
-    keep_alive_ = head.keep_alive();
+    request_ = CopyHead(parser_.get());
+    keep_alive_ = parser_.get().keep_alive();
   }
 
   const http_request& request() const override { return request_; }
@@ -268,6 +275,28 @@
   std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
+/// \returns the head of the request at the start of \p bytes, if it is whole.
+std::optional<http_request> FindHead(std::string_view bytes) {
+  http::request_parser<http::empty_body> parser;
+  boost::system::error_code code;
+  parser.put(asio::buffer(bytes), code);
+  if (!parser.is_header_done()) {
+    return std::nullopt;
+  }
+  return CopyHead(parser.get());
+}
+
+void ReportUnanswered(const server_state& state,
+                      unanswered_bytes::stage where,
+                      std::size_t bytes,
+                      std::optional<http_request> head,
+                      std::string reason) {
+  if (state.options.on_unanswered && bytes > 0) {
+    state.options.on_unanswered(
+        {where, bytes, std::move(head), std::move(reason)});
+  }
+}
+
 /// Answers a request whose head cannot be parsed.
 template <class Stream>
 asio::awaitable<void> RefuseMalformed(Stream& stream,
@@ -334,6 +363,8 @@
   const boost::system::error_code code =
       co_await ReadHead(stream, buffer, parser, state, first);
   if (code) {
+    ReportUnanswered(state, unanswered_bytes::stage::reading_head,
+                     buffer.size(), std::nullopt, code.message());
     const bool parse_error =
         code.category() ==
         http::make_error_code(http::error::bad_method).category();
@@ -368,6 +399,10 @@
         "");
     co_await current.Send(std::move(failure));
   }
+  if (!current.finished()) {
+    ReportUnanswered(state, unanswered_bytes::stage::handling, 1,
+                     current.request(), "the handler sent no whole answer");
+  }
   co_return current.keep_alive();
 }
 
@@ -386,7 +421,8 @@
   }
 }
 
-asio::awaitable<void> CloseGracefully(plain_stream& stream) {
+asio::awaitable<void> CloseGracefully(const server_state& state,
+                                      plain_stream& stream) {
   if (!stream.socket().is_open()) {
     co_return;
   }
@@ -394,11 +430,19 @@
   stream.socket().shutdown(tcp::socket::shutdown_send, code);
   stream.expires_after(kLingerTime);
   std::array<char, kDiscardedBytesPerRead> discarded;
+  std::size_t total = 0;
+  std::optional<http_request> head;
   while (!code) {
     std::size_t bytes = 0;
     std::tie(code, bytes) =
         co_await stream.async_read_some(asio::buffer(discarded), kUseResult);
+    if (total == 0) {
+      head = FindHead({discarded.data(), bytes});
+    }
+    total += bytes;
   }
+  ReportUnanswered(state, unanswered_bytes::stage::after_own_close, total,
+                   std::move(head), code.message());
   stream.close();
 }
 
@@ -410,7 +454,7 @@
   if (state->tls == nullptr) {
     plain_stream stream(std::move(socket));
     co_await ServeConnection(state, stream);
-    co_await CloseGracefully(stream);
+    co_await CloseGracefully(*state, stream);
     co_return;
   }
   tls_stream stream(plain_stream(std::move(socket)), *state->tls);
@@ -421,7 +465,7 @@
     co_return;
   }
   co_await ServeConnection(state, stream);
-  co_await CloseGracefully(beast::get_lowest_layer(stream));
+  co_await CloseGracefully(*state, beast::get_lowest_layer(stream));
 }
 
 class server_impl final : public http_server {
@@ -517,6 +561,18 @@
 
 }  // namespace
 
+std::string_view ToString(unanswered_bytes::stage where) {
+  switch (where) {
+    case unanswered_bytes::stage::reading_head:
+      return "reading_head";
+    case unanswered_bytes::stage::handling:
+      return "handling";
+    case unanswered_bytes::stage::after_own_close:
+      return "after_own_close";
+  }
+  return "";
+}
+
 result<std::unique_ptr<http_server>> http_server::Create(
     http_server_options options,
     thread_pool& threads,
--- a/packages/net/src/net/http_server.h
+++ b/packages/net/src/net/http_server.h
@@ -65,6 +65,24 @@
   std::string ca_file;  ///< Checked by clients; servers ask for it when set.
 };
 
+/// \brief Bytes of a caller that will get no answer.
+struct unanswered_bytes {
+  enum class stage {
+    reading_head,    ///< The head had begun to arrive.
+    handling,        ///< The handler ended without a complete answer.
+    after_own_close  ///< The server had closed its side.
+  };
+
+  stage where = stage::reading_head;
+  std::size_t bytes = 0;
+  /// The head of the request, if all of it arrived; its body is empty.
+  std::optional<http_request> head;
+  /// Why the connection ends.
+  std::string reason;
+};
+
+std::string_view ToString(unanswered_bytes::stage where);
+
 /// \brief Settings of an http_server.
 struct http_server_options {
   host_address listen = host_address::Make("127.0.0.1", 0);
@@ -74,6 +92,9 @@
   std::chrono::milliseconds read_timeout{20'000};
   std::chrono::seconds write_timeout{20};
   std::optional<tls_files> tls;
+  /// Called when a connection ends whose caller has sent bytes that get no
+  /// complete answer. It runs on the thread of the connection.
+  std::function<void(const unanswered_bytes&)> on_unanswered;
 };
 
 /// \brief An HTTP/1.1 server on the threads of a pool.
