--- a/standins/platform/platform_engine.cc
+++ b/standins/platform/platform_engine.cc
@@ -45,10 +45,21 @@
   return accounts_;
 }
 
+void platform_engine::FallSilent(std::chrono::milliseconds time) {
+  silent_until_ = std::chrono::steady_clock::now() + time;
+}
+
+asio::awaitable<void> platform_engine::WaitWhileSilent() const {
+  while (std::chrono::steady_clock::now() < silent_until_.load()) {
+    co_await SleepFor(kEventTime);
+  }
+}
+
 asio::awaitable<void> platform_engine::Handle(http_exchange& exchange) {
   const http_request request = exchange.request();
   const auto body = co_await exchange.ReadBody(kMaxBodyBytes);
   const std::string request_id = request.headers.Get("Request-Id").value_or("");
+  co_await WaitWhileSilent();
   http_response refusal;
   refusal.headers.Set("Request-Id", request_id);
   const auto target = request.headers.Get("Target-Instance");
@@ -93,6 +104,7 @@
       std::atoi(request.headers.Get("Last-Event-Id").value_or("0").c_str()) + 1;
   for (int number = first; number <= events; ++number) {
     co_await SleepFor(kEventTime);
+    co_await WaitWhileSilent();
     const std::string event =
         "id: " + std::to_string(number) + "\ndata: " + Event(number) + "\n\n";
     if (cut && number == events / 2) {
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -33,6 +33,10 @@
   /// The next \p count streams break off before their first event.
   void DropNext(int count) { drops_ = count; }
 
+  /// Sends nothing for \p time, then goes on where it was; connections stay
+  /// open and requests are taken meanwhile.
+  void FallSilent(std::chrono::milliseconds time);
+
   /// Streams that begin from now on have \p count events.
   void SetEvents(int count) { events_ = count; }
 
@@ -47,6 +51,9 @@
   static std::string Event(int number);
 
  private:
+  /// Returns when the server is not silent.
+  boost::asio::awaitable<void> WaitWhileSilent() const;
+
   std::string id_;
   int slots_;
   std::atomic<int> running_{0};
@@ -54,6 +61,7 @@
   std::atomic<int> refusals_{0};
   std::atomic<int> drops_{0};
   std::atomic<int> events_{kEvents};
+  std::atomic<std::chrono::steady_clock::time_point> silent_until_{};
   std::mutex mutex_;
   std::map<std::string, int> runs_;
   std::vector<std::string> keys_;
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -18,6 +18,9 @@
 class platform_fixture : public ::testing::Test,
                          protected harness::platform_fleet {
  protected:
+  explicit platform_fixture(const harness::platform_size& size = {})
+      : platform_fleet(size) {}
+
   host StartGateway(const std::string& name,
                     const std::vector<std::string>& flags = {}) {
     host made = Start("gateway", name, flags);
