Leave a silent server only when another one has taken the request

Callers saw streams cut and requests that ended with 502 while a sound server was silent for a second, most often when all others were full.

Cause: silence was taken for failure. The attempt at a server without an event for 150 ms, or without a head for 180 ms, was ended first, and only then was another server looked for. If none was free within 50 ms, none could be reached, or the one asked refused, the caller's answer was cut or failed, though the silent server would have gone on. The same wait for the response also hid callers that left.

Change: an attempt is an object of its own (server_attempt) whose head and pieces are awaited without ending it. While its server is silent, a successor is started; the silent attempt ends only when the successor has answered, or has been sent for 300 ms without a refusal, so that two servers never run the request for long. A successor that cannot be reached or refuses leaves the silent attempt as it was, and the next one is tried 50 ms later. A caller that leaves ends all attempts at once, also while a body is read.

The relaying of responses moved to request_relay.cc.

--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/gateway/request_limits.h"
+
 namespace cardamomyard {
 namespace asio = boost::asio;
 
 namespace {
 
-// Limit for a response that is buffered completely before it is relayed.
-constexpr std::size_t kMaxBufferedResponseBytes = 16U << 20U;
 // A nearby server accepts a connection within 1 or 2 ms.
 constexpr std::chrono::milliseconds kConnectTimeout{250};
 // Share of a route's pause objective after which a stream that another server
@@ -20,7 +20,12 @@
 // Share of a route's latency objective after which a repeatable request without
 // a response is sent to another server, whose response can still be on time.
 constexpr double kHeadTimeoutShare = 0.6;
-constexpr std::chrono::milliseconds kMinHeadTimeout{60};
+// While no other server takes a request from a silent one, it is tried again
+// after this time.
+constexpr std::chrono::milliseconds kMoveRetryInterval{50};
+// A server that was sent a request and has not refused it within this time is
+// taken for running it, and the silent server before it must stop.
+constexpr std::chrono::milliseconds kTakeOverTime{300};
 // A request waits for a slot for the latency objective divided by this number.
 // A later refusal would leave the caller less time to retry.
 constexpr int kSlotWaitDivisor = 6;
@@ -30,56 +35,12 @@
 // A request is refused when a server cannot be reached and this many have been
 // tried.
 constexpr std::size_t kMaxTriedServers = 5;
-// A server sends the whole of a refusal at once.
-constexpr std::chrono::milliseconds kRefusalBodyTimeout{200};
-// A request that received more events in an attempt is no suspect when its
-// server crashes: the crash comes when a server begins the answer.
-constexpr int kSuspectEvents = 2;
-// The response must leave this host before the deadline.
-constexpr std::chrono::milliseconds kDeadlineMargin{20};
-
-std::chrono::milliseconds ToMilliseconds(duration time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time);
-}
 
 std::chrono::milliseconds Scale(std::chrono::milliseconds time, double share) {
   return std::chrono::milliseconds(
       static_cast<std::int64_t>(static_cast<double>(time.count()) * share));
 }
 
-/// \returns whether an event may follow those that the caller has. A server
-/// that starts from the beginning when it was asked to resume would otherwise
-/// repeat events.
-bool Continues(const request_state& request, std::int64_t event) {
-  const auto& last =
-      request.last_event ? request.last_event : request.caller.last_event;
-  return !last || event > *last;
-}
-
-std::string Join(const std::vector<std::string>& names) {
-  std::string list;
-  for (const std::string& name : names) {
-    list += (list.empty() ? "" : ",") + name;
-  }
-  return list;
-}
-
-/// Counts a request in its server's load during the lifetime of this object.
-class load_scope {
- public:
-  load_scope(host_runtime& host, const std::string& backend)
-      : host_(&host), backend_(backend) {
-    host_->RecordStart(backend_, work_class::online);
-  }
-  ~load_scope() { host_->RecordEnd(backend_, work_class::online); }
-  load_scope(const load_scope&) = delete;
-  load_scope& operator=(const load_scope&) = delete;
-
- private:
-  host_runtime* host_;
-  std::string backend_;
-};
-
 }  // namespace
 
 request_handler::request_handler(host_runtime& host, quota_gate& quotas)
@@ -93,11 +54,7 @@
 asio::awaitable<void> request_handler::Handle(
     http_exchange& exchange,
     std::shared_ptr<request_state> request) {
-  request->canceller = std::make_shared<call_canceller>();
-  exchange.WatchPeer([request] {
-    request->caller_left = true;
-    request->canceller->Cancel();
-  });
+  exchange.WatchPeer([request] { request->Leave(); });
   co_await Serve(*request);
   if (request->is_trial && !request->may_have_run) {
     host_->crashes().CancelTrial(request->suspect);
@@ -133,7 +90,13 @@
       co_await Refuse(request, place.error());
       co_return;
     }
-    if (co_await Attempt(request, *place) == next_step::finished) {
+    request.attempt = co_await StartAttempt(request, *place);
+    next_step next = next_step::moved;
+    while (next == next_step::moved) {
+      next = co_await FollowAttempt(request);
+    }
+    request.attempt->Cancel();
+    if (next == next_step::finished) {
       co_return;
     }
   }
@@ -209,356 +172,198 @@
   }
 }
 
-std::chrono::milliseconds request_handler::HeadTimeout(
-    const request_state& request,
-    std::chrono::milliseconds expected_wait) const {
-  const auto remaining = ToMilliseconds(request.deadline - host_->time().Now());
-  const bool can_move = request.route->repeatable() &&
-                        request.attempts < request.route->max_attempts;
-  if (!can_move) {
-    return remaining;
+bool request_handler::CanMove(const request_state& request) const {
+  return request.route->repeatable() &&
+         request.attempts < request.route->max_attempts &&
+         host_->time().Now() + kDeadlineMargin < request.deadline;
+}
+
+time_point request_handler::HeadDeadline(const request_state& request,
+                                         const server_attempt& attempt) const {
+  if (!CanMove(request)) {
+    return time_point::max();  // The call ends at the deadline.
   }
-  return std::min(
-      remaining,
-      expected_wait +
-          std::max(kMinHeadTimeout,
-                   Scale(request.route->latency_objective, kHeadTimeoutShare)));
+  const auto limit =
+      std::max(kMinHeadTimeout,
+               Scale(request.route->latency_objective, kHeadTimeoutShare));
+  return std::min<time_point>(
+      request.deadline,
+      std::max<time_point>(
+          attempt.next_move,
+          attempt.started() + attempt.expected_wait() + limit));
 }
 
 time_point request_handler::EventDeadline(const request_state& request,
+                                          const server_attempt& attempt,
                                           time_point last_event) const {
-  const bool can_move = request.route->repeatable() &&
-                        request.attempts < request.route->max_attempts;
-  if (!can_move) {
+  if (!CanMove(request)) {
     return request.deadline;
   }
   // No longer limit is needed for the first event, as it arrives with the head.
   const auto limit =
       std::max(kMinEventTimeout,
                Scale(request.route->pause_objective, kEventTimeoutShare));
-  return std::min<time_point>(request.deadline, last_event + limit);
+  return std::min<time_point>(
+      request.deadline,
+      std::max<time_point>(attempt.next_move, last_event + limit));
 }
 
-asio::awaitable<request_handler::next_step> request_handler::Attempt(
+asio::awaitable<std::shared_ptr<server_attempt>> request_handler::StartAttempt(
     request_state& request,
-    const chosen_backend& place) {
-  const backend_entry& backend = place.server.entry;
-  const std::chrono::milliseconds expected_wait = place.expected_wait;
+    chosen_backend place) {
+  const backend_status server = place.server;
+  const backend_entry& backend = server.entry;
+  const time_point now = host_->time().Now();
   forward_fields fields;
   fields.backend = backend.id;
   fields.account = request.account;
-  fields.time_left = ToMilliseconds(request.deadline - host_->time().Now());
+  fields.time_left = ToMilliseconds(request.deadline - now);
   fields.last_event =
       request.last_event ? request.last_event : request.caller.last_event;
   http_request message = host_->codec().MakeBackendRequest(
       request.exchange->request(), request.body, fields);
   call_options options;
   options.connect_timeout = std::min(kConnectTimeout, *fields.time_left);
+  options.head_timeout = *fields.time_left;
+  options.idle_timeout = *fields.time_left;
   options.reuse_connection = true;
   options.resend_on_stale = request.route->repeatable();
-  options.canceller = request.canceller;
-  const std::function<answer_origin(const header_list&)> origin_of =
-      [&](const header_list& headers) {
-        return host_->codec().OriginOf(headers, request.caller.id);
-      };
-  options.origin_of = &origin_of;
   options.request_name = request.caller.id;
-  bool written = false;
-  const std::function<bool()> may_send = [&] {
-    written = !request.caller_left;
-    return written;
-  };
-  options.may_send = &may_send;
 
   request.tried.insert(backend.id);
   request.server_list += (request.server_list.empty() ? "" : ",") + backend.id;
-  const load_scope load(*host_, backend.id);
-  const time_point attempt_started = host_->time().Now();
   ++request.attempts;
-  request.attempt_events = 0;
-  log_.Info(
-      "A request goes to a server.",
-      {{"request", request.caller.id},
-       {"route", request.route->name},
-       {"account", request.account},
-       {"backend", backend.id},
-       {"attempt", request.attempts},
-       {"online", place.server.online},
-       {"batch", place.server.batch},
-       {"slots", backend.slots},
-       {"avoided", place.server.in_backoff ? "yes" : "no"},
-       {"load_age_ms", host_->peers().OldestDigestAge(attempt_started).count()},
-       {"expected_wait_ms", expected_wait.count()},
-       {"left_ms", fields.time_left->count()},
-       {"configuration", request.configuration->version()}});
-  options.head_timeout = HeadTimeout(request, expected_wait);
-  auto call =
-      co_await host_->http().Open(backend.address, std::move(message), options);
+  log_.Info("A request goes to a server.",
+            {{"request", request.caller.id},
+             {"route", request.route->name},
+             {"account", request.account},
+             {"backend", backend.id},
+             {"attempt", request.attempts},
+             {"online", server.online},
+             {"batch", server.batch},
+             {"slots", backend.slots},
+             {"avoided", server.in_backoff ? "yes" : "no"},
+             {"load_age_ms", host_->peers().OldestDigestAge(now).count()},
+             {"expected_wait_ms", place.expected_wait.count()},
+             {"left_ms", fields.time_left->count()},
+             {"configuration", request.configuration->version()}});
+  const auto executor = co_await asio::this_coro::executor;
+  co_return server_attempt::Start(
+      *host_, executor, std::move(place), std::move(message),
+      std::move(options),
+      [codec = &host_->codec(), id = request.caller.id](
+          const header_list& headers) { return codec->OriginOf(headers, id); });
+}
+
+asio::awaitable<request_handler::next_step> request_handler::FollowAttempt(
+    request_state& request) {
+  const std::shared_ptr<server_attempt> attempt = request.attempt;
+  while (!co_await attempt->WaitForHead(HeadDeadline(request, *attempt))) {
+    if (CanMove(request) && co_await MoveFromSilentServer(request)) {
+      co_return next_step::moved;
+    }
+  }
   if (request.caller_left) {
     request.outcome_label = "caller_left";
     request.exchange->Abort();
     co_return next_step::finished;
   }
-  if (!call) {
-    const error& cause = call.error();
-    if (!written || cause.ran() == outcome::not_run) {
-      --request.attempts;
-      host_->pool().RecordFailure(backend.id, host_->time().Now());
-      log_.Warning("A server cannot be reached.",
-                   {{"request", request.caller.id},
-                    {"backend", backend.id},
-                    {"expected_wait_ms", expected_wait.count()},
-                    {"reason", cause.message()}});
-      if (request.tried.size() < kMaxTriedServers) {
-        co_return next_step::retry;
-      }
-      co_await Refuse(request, error::Make(error_kind::no_backend,
-                                           "no server can be reached"));
-      co_return next_step::finished;
+  if (!attempt->response()) {
+    if (!attempt->unreachable()) {
+      co_return co_await HandleBrokenAttempt(request, *attempt,
+                                             attempt->response().error());
+    }
+    RecordUnreachable(request, *attempt);
+    if (request.tried.size() < kMaxTriedServers) {
+      co_return next_step::retry;
     }
-    co_return co_await HandleBrokenAttempt(request, backend, cause);
+    co_await Refuse(request, error::Make(error_kind::no_backend,
+                                         "no server can be reached"));
+    co_return next_step::finished;
   }
-
-  const next_step next = co_await HandleResponse(request, backend, **call);
+  const next_step next = co_await HandleResponse(request, *attempt);
   if (next == next_step::finished && request.status == 200) {
     placement_.ObserveServiceTime(
-        request.service, ToMilliseconds(host_->time().Now() - attempt_started));
+        request.service,
+        ToMilliseconds(host_->time().Now() - attempt->started()));
   }
   co_return next;
 }
 
-asio::awaitable<request_handler::next_step> request_handler::HandleResponse(
-    request_state& request,
-    const backend_entry& backend,
-    http_call& call) {
-  const backend_response_head head =
-      host_->codec().ParseResponseHead(call.status(), call.headers());
-  if (!head.executed) {
-    // Read to the end, so that the connection can be reused.
-    call.LimitReads(std::min<duration>(request.deadline - host_->time().Now(),
-                                       kRefusalBodyTimeout));
-    const auto rest = co_await call.ReadAll(kMaxBufferedResponseBytes);
-    if (head.misdirected || !rest) {
-      host_->pool().RecordFailure(backend.id, host_->time().Now());
-    } else {
-      host_->pool().RecordOverload(backend.id, host_->time().Now());
-    }
-    log_.Info("A server refused a request.", {{"request", request.caller.id},
-                                              {"backend", backend.id},
-                                              {"status", head.status},
-                                              {"attempt", request.attempts}});
-    if (request.attempts < request.route->max_attempts) {
-      co_return next_step::retry;
-    }
-    const auto slot_hold_time = placement_.ServiceTime(request.service);
-    co_await Refuse(
-        request,
-        error::Make(error_kind::overloaded, "the server refused the request")
-            .WithRetryAfter(placement_.RetryAfter(
-                slot_hold_time, std::chrono::milliseconds(0))));
-    co_return next_step::finished;
-  }
-  request.may_have_run = true;
-  const bool server_failed = head.status >= 500;
-  if (server_failed && request.route->repeatable() &&
-      request.attempts < request.route->max_attempts &&
-      host_->time().Now() + kMinHeadTimeout < request.deadline) {
-    log_.Info("A server failed a request that may be repeated.",
-              {{"request", request.caller.id},
-               {"backend", backend.id},
-               {"status", head.status}});
-    co_return next_step::retry;
-  }
-  if (request.route->kind == route_kind::streaming && head.status == 200 &&
-      head.may_be_stream) {
-    co_return co_await RelayStream(request, backend, call);
-  }
-  if (request.head_sent) {
-    co_return co_await HandleBrokenAttempt(
-        request, backend,
-        error::Make(error_kind::backend_failed,
-                    "status " + std::to_string(head.status) +
-                        " does not go on with the stream"));
-  }
-  call.LimitReads(request.deadline - host_->time().Now());
-  co_return co_await RelayBuffered(request, backend, call);
+void request_handler::RecordUnreachable(request_state& request,
+                                        server_attempt& attempt) {
+  --request.attempts;
+  host_->pool().RecordFailure(attempt.backend().id, host_->time().Now());
+  log_.Warning("A server cannot be reached.",
+               {{"request", request.caller.id},
+                {"backend", attempt.backend().id},
+                {"expected_wait_ms", attempt.expected_wait().count()},
+                {"reason", attempt.response().error().message()}});
 }
 
-asio::awaitable<request_handler::next_step> request_handler::RelayBuffered(
-    request_state& request,
-    const backend_entry& backend,
-    http_call& call) {
-  result<std::string> body = co_await call.ReadAll(kMaxBufferedResponseBytes);
-  if (!body) {
-    co_return co_await HandleBrokenAttempt(request, backend, body.error());
+asio::awaitable<bool> request_handler::MoveFromSilentServer(
+    request_state& request) {
+  const std::shared_ptr<server_attempt> silent = request.attempt;
+  if (!silent->silence_reported) {
+    silent->silence_reported = true;
+    host_->pool().RecordFailure(silent->backend().id, host_->time().Now());
   }
-  host_->pool().RecordSuccess(backend.id);
-  RecordCompletion(request, call);
-  http_response response;
-  response.status = call.status();
-  response.headers = host_->codec().FilterResponseHeaders(call.headers());
-  response.body = std::move(*body);
-  request.status = response.status;
-  request.first_byte = host_->time().Now();
-  const result<void> sent =
-      co_await request.exchange->Send(std::move(response));
-  request.outcome_label = sent ? "answered" : "caller_left";
-  co_return next_step::finished;
-}
-
-asio::awaitable<request_handler::next_step> request_handler::RelayStream(
-    request_state& request,
-    const backend_entry& backend,
-    http_call& call) {
-  event_reader reader;
-  error cause =
-      error::Make(error_kind::backend_failed, "the stream ended early");
-  // Whether the answer is known to go on where the caller's stream broke off.
-  bool resumed = !request.head_sent;
-  // Bytes that complete no event, and comments, are no progress: a stalled
-  // server may send them for ever.
-  time_point last_progress = host_->time().Now();
-  while (true) {
-    const time_point deadline = EventDeadline(request, last_progress);
-    const time_point now = host_->time().Now();
-    if (now >= deadline) {
-      cause = error::Make(error_kind::timeout,
-                          deadline == request.deadline
-                              ? "the deadline has passed"
-                              : "the stream makes no progress");
-      break;
-    }
-    call.LimitReads(deadline - now);
-    result<std::string> chunk = co_await call.ReadSome();
-    if (request.caller_left) {
-      request.outcome_label = "caller_left";
-      request.exchange->Abort();
-      co_return next_step::finished;
-    }
-    if (!chunk) {
-      cause = chunk.error();
-      break;
-    }
-    const bool ended = chunk->empty();
-    // Without a length an answer also ends where its server crashes.
-    const bool may_be_cut = call.ends_with_connection() &&
-                            !request.last_event && !request.caller.last_event;
-    if (ended && (!reader.at_boundary() || may_be_cut)) {
+  while (CanMove(request) && request.tried.size() < kMaxTriedServers &&
+         !request.caller_left) {
+    placement chosen = placement_.Choose(
+        host_->pool(), request.service, request.tried,
+        Scale(request.route->latency_objective, kMaxQueueWaitShare),
+        host_->time().Now());
+    auto* place = std::get_if<chosen_backend>(&chosen);
+    if (place == nullptr) {
       break;
     }
-    std::string events;
-    bool out_of_order = false;
-    bool unrelated = false;
-    bool progressed = false;
-    for (const stream_event& event : reader.Feed(*chunk)) {
-      out_of_order = event.id && !Continues(request, *event.id);
-      unrelated = !resumed && !MayResumeStream(event);
-      if (out_of_order || unrelated) {
-        break;
-      }
-      resumed |= event.id.has_value();
-      events += event.raw;
-      if (event.id) {
-        request.last_event = event.id;
-        ++request.attempt_events;
-      }
-      progressed |= IsProgress(event);
-    }
-    if (!request.head_sent && (ended || !events.empty())) {
-      const result<void> started = co_await request.exchange->StartStream(
-          call.status(), host_->codec().FilterResponseHeaders(call.headers()));
-      request.head_sent = true;
-      request.status = call.status();
-      request.first_byte = host_->time().Now();
-      if (!started) {
-        request.caller_left = true;
-      }
-    }
-    if (!request.caller_left && !events.empty()) {
-      const result<void> written =
-          co_await request.exchange->Write(std::move(events));
-      request.caller_left |= !written;
-    }
-    if (request.caller_left) {
-      request.outcome_label = "caller_left";
-      request.exchange->Abort();
-      co_return next_step::finished;
-    }
-    if (progressed) {
-      // After the write, as a slow caller is not the server's fault.
-      last_progress = host_->time().Now();
+    if (!MayReachServers(request)) {
+      silent->next_move = request.deadline;
+      co_return false;
     }
-    if (out_of_order || unrelated || reader.too_large()) {
-      cause = error::Make(error_kind::backend_failed,
-                          out_of_order ? "an event repeats an earlier id"
-                          : unrelated  ? "the answer does not resume the stream"
-                                       : "an event has no end");
-      break;
+    request.successor = co_await StartAttempt(request, std::move(*place));
+    co_await AwaitSuccessor(request);
+    const std::shared_ptr<server_attempt> successor =
+        std::exchange(request.successor, nullptr);
+    if (successor->unreachable()) {
+      RecordUnreachable(request, *successor);
+      continue;
     }
-    if (ended) {
-      host_->pool().RecordSuccess(backend.id);
-      RecordCompletion(request, call);
-      co_await request.exchange->Finish();
-      request.outcome_label = "answered";
-      co_return next_step::finished;
+    if (IsRefusal(*successor)) {
+      co_await RecordRefusal(request, *successor);
+      successor->Cancel();
+      continue;
     }
+    log_.Info("A request leaves a silent server.",
+              {{"request", request.caller.id},
+               {"backend", silent->backend().id},
+               {"successor", successor->backend().id},
+               {"last_event", request.last_event.value_or(-1)},
+               {"answered", successor->has_response() ? "yes" : "no"}});
+    silent->Cancel();
+    request.may_have_run = true;
+    request.attempt = successor;
+    co_return true;
   }
-  call.Cancel();
-  co_return co_await HandleBrokenAttempt(request, backend, cause);
-}
-
-void request_handler::RecordCompletion(const request_state& request,
-                                       const http_call& call) {
-  // An answer without length may have ended with a crash of its server.
-  const bool is_whole =
-      !call.ends_with_connection() || request.attempt_events > kSuspectEvents;
-  if (call.status() < 300 && is_whole) {
-    host_->crashes().RecordCompletion(request.suspect, host_->time().Now());
-  }
+  silent->next_move = host_->time().Now() + kMoveRetryInterval;
+  co_return false;
 }
 
-asio::awaitable<request_handler::next_step>
-request_handler::HandleBrokenAttempt(request_state& request,
-                                     const backend_entry& backend,
-                                     const error& cause) {
-  const time_point now = host_->time().Now();
-  request.may_have_run = true;
-  const bool out_of_time = now + kDeadlineMargin >= request.deadline;
-  if (!out_of_time) {
-    host_->pool().RecordFailure(backend.id, now);
-    if (cause.kind() != error_kind::timeout &&
-        request.attempt_events <= kSuspectEvents) {
-      host_->RecordBreak(backend, request.suspect);
+asio::awaitable<void> request_handler::AwaitSuccessor(request_state& request) {
+  const std::shared_ptr<server_attempt> successor = request.successor;
+  while (true) {
+    const time_point limit = successor->written()
+                                 ? *successor->written() + kTakeOverTime
+                                 : successor->started() + kConnectTimeout;
+    if (co_await successor->WaitForHead(limit)) {
+      co_return;
+    }
+    if (successor->written() &&
+        host_->time().Now() >= *successor->written() + kTakeOverTime) {
+      co_return;
     }
   }
-  const bool can_move = request.route->repeatable() &&
-                        request.attempts < request.route->max_attempts &&
-                        !out_of_time && !request.caller_left;
-  log_.Warning(
-      "A server broke off a request.",
-      {{"request", request.caller.id},
-       {"backend", backend.id},
-       {"attempt", request.attempts},
-       {"last_event", request.last_event.value_or(-1)},
-       {"attempt_events", request.attempt_events},
-       {"parts", Join(request.caller.prompt_parts)},
-       {"moves_on", can_move ? "yes" : "no"},
-       {"route", request.route->name},
-       {"limit_ms", ToMilliseconds(request.deadline - request.arrived).count()},
-       {"reason", cause.message()}});
-  if (can_move) {
-    co_return next_step::retry;
-  }
-  if (request.head_sent) {
-    request.outcome_label = "cut";
-    request.exchange->Abort();
-    co_return next_step::finished;
-  }
-  co_await Refuse(request,
-                  error::Make(out_of_time ? error_kind::timeout
-                                          : error_kind::backend_failed,
-                              "the server returned no complete response"));
-  co_return next_step::finished;
 }
 
 asio::awaitable<void> request_handler::Refuse(request_state& request,
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -13,6 +13,7 @@
 #include "src/gateway/host_runtime.h"
 #include "src/gateway/quota_gate.h"
 #include "src/gateway/request_state.h"
+#include "src/gateway/server_attempt.h"
 
 namespace cardamomyard {
 
@@ -28,28 +29,46 @@
 
  private:
   /// The step that follows an attempt.
-  enum class next_step { finished, retry };
+  enum class next_step {
+    finished,
+    retry,
+    moved  ///< The request goes on with the attempt that replaced this one.
+  };
 
   boost::asio::awaitable<void> Serve(request_state& request);
-  boost::asio::awaitable<next_step> Attempt(request_state& request,
-                                            const chosen_backend& place);
+  /// Sends the request to a server.
+  boost::asio::awaitable<std::shared_ptr<server_attempt>> StartAttempt(
+      request_state& request,
+      chosen_backend place);
+  /// Waits for the response of the current attempt and handles it.
+  boost::asio::awaitable<next_step> FollowAttempt(request_state& request);
+  /// Replaces the current attempt, whose server is silent, by one at another
+  /// server. The current one ends only when the other server has taken the
+  /// request. \returns whether it was replaced.
+  boost::asio::awaitable<bool> MoveFromSilentServer(request_state& request);
+  /// Waits until the successor has answered or is taken for running.
+  boost::asio::awaitable<void> AwaitSuccessor(request_state& request);
   boost::asio::awaitable<next_step> HandleResponse(request_state& request,
-                                                   const backend_entry& backend,
-                                                   http_call& call);
+                                                   server_attempt& attempt);
   boost::asio::awaitable<next_step> RelayBuffered(request_state& request,
-                                                  const backend_entry& backend,
-                                                  http_call& call);
+                                                  server_attempt& attempt);
   boost::asio::awaitable<next_step> RelayStream(request_state& request,
-                                                const backend_entry& backend,
-                                                http_call& call);
+                                                server_attempt& attempt);
+  /// \returns whether the server has answered that it did not run the request.
+  bool IsRefusal(const server_attempt& attempt) const;
+  /// Records that a server refused the request and reads the refusal.
+  boost::asio::awaitable<void> RecordRefusal(request_state& request,
+                                             server_attempt& attempt);
+  /// Records that the request was not sent to a server.
+  void RecordUnreachable(request_state& request, server_attempt& attempt);
   /// Clears what a completely answered request holds of causing crashes.
-  void RecordCompletion(const request_state& request, const http_call& call);
+  void RecordCompletion(const request_state& request,
+                        const server_attempt& attempt);
   /// Handles an attempt at which the server may have run the request but gave
   /// no usable response.
-  boost::asio::awaitable<next_step> HandleBrokenAttempt(
-      request_state& request,
-      const backend_entry& backend,
-      const error& cause);
+  boost::asio::awaitable<next_step> HandleBrokenAttempt(request_state& request,
+                                                        server_attempt& attempt,
+                                                        const error& cause);
   /// Decides whether the request may be sent to a server, or is like those
   /// under which servers crash.
   bool MayReachServers(request_state& request);
@@ -57,12 +76,15 @@
   boost::asio::awaitable<result<chosen_backend>> WaitForPlacement(
       request_state& request);
   boost::asio::awaitable<void> Refuse(request_state& request, error cause);
-  std::chrono::milliseconds HeadTimeout(
-      const request_state& request,
-      std::chrono::milliseconds expected_wait) const;
+  /// \returns whether the request may be sent to one more server.
+  bool CanMove(const request_state& request) const;
+  /// \returns when a server without a response head is taken for silent.
+  time_point HeadDeadline(const request_state& request,
+                          const server_attempt& attempt) const;
   /// \returns when a stream whose last event arrived at \p last_event is
-  /// taken for stalled.
+  /// taken for silent.
   time_point EventDeadline(const request_state& request,
+                           const server_attempt& attempt,
                            time_point last_event) const;
   void LogOutcome(const request_state& request);
 
--- /dev/null
+++ b/packages/gateway/src/gateway/request_relay.cc
@@ -0,0 +1,296 @@
+#include <algorithm>
+#include <utility>
+
+#include "src/gateway/request_handler.h"
+#include "src/gateway/request_limits.h"
+
+namespace cardamomyard {
+namespace asio = boost::asio;
+
+namespace {
+
+// Limit for a response that is buffered completely before it is relayed.
+constexpr std::size_t kMaxBufferedResponseBytes = 16U << 20U;
+// A server sends the whole of a refusal at once.
+constexpr std::chrono::milliseconds kRefusalBodyTimeout{200};
+// A request that received more events in an attempt is no suspect when its
+// server crashes: the crash comes when a server begins the answer.
+constexpr int kSuspectEvents = 2;
+
+/// \returns whether an event may follow those that the caller has. A server
+/// that starts from the beginning when it was asked to resume would otherwise
+/// repeat events.
+bool Continues(const request_state& request, std::int64_t event) {
+  const auto& last =
+      request.last_event ? request.last_event : request.caller.last_event;
+  return !last || event > *last;
+}
+
+}  // namespace
+
+bool request_handler::IsRefusal(const server_attempt& attempt) const {
+  if (!attempt.has_response() || !attempt.response()) {
+    return false;
+  }
+  const http_call& call = **attempt.response();
+  return !host_->codec()
+              .ParseResponseHead(call.status(), call.headers())
+              .executed;
+}
+
+asio::awaitable<void> request_handler::RecordRefusal(request_state& request,
+                                                     server_attempt& attempt) {
+  http_call& call = **attempt.response();
+  const backend_response_head head =
+      host_->codec().ParseResponseHead(call.status(), call.headers());
+  // Read to the end, so that the connection can be reused.
+  call.LimitReads(std::min<duration>(request.deadline - host_->time().Now(),
+                                     kRefusalBodyTimeout));
+  const auto rest = co_await call.ReadAll(kMaxBufferedResponseBytes);
+  if (head.misdirected || !rest) {
+    host_->pool().RecordFailure(attempt.backend().id, host_->time().Now());
+  } else {
+    host_->pool().RecordOverload(attempt.backend().id, host_->time().Now());
+  }
+  log_.Info("A server refused a request.", {{"request", request.caller.id},
+                                            {"backend", attempt.backend().id},
+                                            {"status", head.status},
+                                            {"attempt", request.attempts}});
+}
+
+asio::awaitable<request_handler::next_step> request_handler::HandleResponse(
+    request_state& request,
+    server_attempt& attempt) {
+  http_call& call = **attempt.response();
+  const backend_response_head head =
+      host_->codec().ParseResponseHead(call.status(), call.headers());
+  if (!head.executed) {
+    co_await RecordRefusal(request, attempt);
+    if (request.attempts < request.route->max_attempts) {
+      co_return next_step::retry;
+    }
+    const auto slot_hold_time = placement_.ServiceTime(request.service);
+    co_await Refuse(
+        request,
+        error::Make(error_kind::overloaded, "the server refused the request")
+            .WithRetryAfter(placement_.RetryAfter(
+                slot_hold_time, std::chrono::milliseconds(0))));
+    co_return next_step::finished;
+  }
+  request.may_have_run = true;
+  const bool server_failed = head.status >= 500;
+  if (server_failed && request.route->repeatable() &&
+      request.attempts < request.route->max_attempts &&
+      host_->time().Now() + kMinHeadTimeout < request.deadline) {
+    log_.Info("A server failed a request that may be repeated.",
+              {{"request", request.caller.id},
+               {"backend", attempt.backend().id},
+               {"status", head.status}});
+    co_return next_step::retry;
+  }
+  if (request.route->kind == route_kind::streaming && head.status == 200 &&
+      head.may_be_stream) {
+    co_return co_await RelayStream(request, attempt);
+  }
+  if (request.head_sent) {
+    co_return co_await HandleBrokenAttempt(
+        request, attempt,
+        error::Make(error_kind::backend_failed,
+                    "status " + std::to_string(head.status) +
+                        " does not go on with the stream"));
+  }
+  call.LimitReads(request.deadline - host_->time().Now());
+  co_return co_await RelayBuffered(request, attempt);
+}
+
+asio::awaitable<request_handler::next_step> request_handler::RelayBuffered(
+    request_state& request,
+    server_attempt& attempt) {
+  http_call& call = **attempt.response();
+  result<std::string> body = co_await call.ReadAll(kMaxBufferedResponseBytes);
+  if (request.caller_left) {
+    request.outcome_label = "caller_left";
+    request.exchange->Abort();
+    co_return next_step::finished;
+  }
+  if (!body) {
+    co_return co_await HandleBrokenAttempt(request, attempt, body.error());
+  }
+  host_->pool().RecordSuccess(attempt.backend().id);
+  RecordCompletion(request, attempt);
+  http_response response;
+  response.status = call.status();
+  response.headers = host_->codec().FilterResponseHeaders(call.headers());
+  response.body = std::move(*body);
+  request.status = response.status;
+  request.first_byte = host_->time().Now();
+  const result<void> sent =
+      co_await request.exchange->Send(std::move(response));
+  request.outcome_label = sent ? "answered" : "caller_left";
+  co_return next_step::finished;
+}
+
+asio::awaitable<request_handler::next_step> request_handler::RelayStream(
+    request_state& request,
+    server_attempt& attempt) {
+  http_call& call = **attempt.response();
+  call.LimitReads(request.deadline - host_->time().Now());
+  event_reader reader;
+  error cause =
+      error::Make(error_kind::backend_failed, "the stream ended early");
+  // Whether the answer is known to go on where the caller's stream broke off.
+  bool resumed = !request.head_sent;
+  // Bytes that complete no event, and comments, are no progress: a stalled
+  // server may send them for ever.
+  time_point last_progress = host_->time().Now();
+  while (true) {
+    const time_point deadline = EventDeadline(request, attempt, last_progress);
+    const time_point now = host_->time().Now();
+    if (now >= request.deadline) {
+      cause = error::Make(error_kind::timeout, "the deadline has passed");
+      break;
+    }
+    if (now >= deadline && co_await MoveFromSilentServer(request)) {
+      co_return next_step::moved;
+    }
+    std::optional<result<std::string>> arrived;
+    if (!request.caller_left) {
+      arrived = co_await attempt.ReadSome(
+          EventDeadline(request, attempt, last_progress));
+    }
+    if (request.caller_left) {
+      request.outcome_label = "caller_left";
+      request.exchange->Abort();
+      co_return next_step::finished;
+    }
+    if (!arrived) {
+      continue;
+    }
+    result<std::string>& chunk = *arrived;
+    if (!chunk) {
+      cause = chunk.error();
+      break;
+    }
+    const bool ended = chunk->empty();
+    // Without a length an answer also ends where its server crashes.
+    const bool may_be_cut = call.ends_with_connection() &&
+                            !request.last_event && !request.caller.last_event;
+    if (ended && (!reader.at_boundary() || may_be_cut)) {
+      break;
+    }
+    std::string events;
+    bool out_of_order = false;
+    bool unrelated = false;
+    bool progressed = false;
+    for (const stream_event& event : reader.Feed(*chunk)) {
+      out_of_order = event.id && !Continues(request, *event.id);
+      unrelated = !resumed && !MayResumeStream(event);
+      if (out_of_order || unrelated) {
+        break;
+      }
+      resumed |= event.id.has_value();
+      events += event.raw;
+      if (event.id) {
+        request.last_event = event.id;
+        ++attempt.events;
+      }
+      progressed |= IsProgress(event);
+    }
+    if (!request.head_sent && (ended || !events.empty())) {
+      const result<void> started = co_await request.exchange->StartStream(
+          call.status(), host_->codec().FilterResponseHeaders(call.headers()));
+      request.head_sent = true;
+      request.status = call.status();
+      request.first_byte = host_->time().Now();
+      if (!started) {
+        request.caller_left = true;
+      }
+    }
+    if (!request.caller_left && !events.empty()) {
+      const result<void> written =
+          co_await request.exchange->Write(std::move(events));
+      request.caller_left |= !written;
+    }
+    if (request.caller_left) {
+      request.outcome_label = "caller_left";
+      request.exchange->Abort();
+      co_return next_step::finished;
+    }
+    if (progressed) {
+      // After the write, as a slow caller is not the server's fault.
+      last_progress = host_->time().Now();
+    }
+    if (out_of_order || unrelated || reader.too_large()) {
+      cause = error::Make(error_kind::backend_failed,
+                          out_of_order ? "an event repeats an earlier id"
+                          : unrelated  ? "the answer does not resume the stream"
+                                       : "an event has no end");
+      break;
+    }
+    if (ended) {
+      host_->pool().RecordSuccess(attempt.backend().id);
+      RecordCompletion(request, attempt);
+      co_await request.exchange->Finish();
+      request.outcome_label = "answered";
+      co_return next_step::finished;
+    }
+  }
+  attempt.Cancel();
+  co_return co_await HandleBrokenAttempt(request, attempt, cause);
+}
+
+void request_handler::RecordCompletion(const request_state& request,
+                                       const server_attempt& attempt) {
+  const http_call& call = **attempt.response();
+  // An answer without length may have ended with a crash of its server.
+  const bool is_whole =
+      !call.ends_with_connection() || attempt.events > kSuspectEvents;
+  if (call.status() < 300 && is_whole) {
+    host_->crashes().RecordCompletion(request.suspect, host_->time().Now());
+  }
+}
+
+asio::awaitable<request_handler::next_step>
+request_handler::HandleBrokenAttempt(request_state& request,
+                                     server_attempt& attempt,
+                                     const error& cause) {
+  const backend_entry& backend = attempt.backend();
+  const time_point now = host_->time().Now();
+  request.may_have_run = true;
+  const bool out_of_time = now + kDeadlineMargin >= request.deadline;
+  if (!out_of_time) {
+    host_->pool().RecordFailure(backend.id, now);
+    if (cause.kind() != error_kind::timeout &&
+        attempt.events <= kSuspectEvents) {
+      host_->RecordBreak(backend, request.suspect);
+    }
+  }
+  const bool can_move = CanMove(request) && !request.caller_left;
+  log_.Warning(
+      "A server broke off a request.",
+      {{"request", request.caller.id},
+       {"backend", backend.id},
+       {"attempt", request.attempts},
+       {"last_event", request.last_event.value_or(-1)},
+       {"attempt_events", attempt.events},
+       {"parts", Join(request.caller.prompt_parts)},
+       {"moves_on", can_move ? "yes" : "no"},
+       {"route", request.route->name},
+       {"limit_ms", ToMilliseconds(request.deadline - request.arrived).count()},
+       {"reason", cause.message()}});
+  if (can_move) {
+    co_return next_step::retry;
+  }
+  if (request.head_sent) {
+    request.outcome_label = "cut";
+    request.exchange->Abort();
+    co_return next_step::finished;
+  }
+  co_await Refuse(request,
+                  error::Make(out_of_time ? error_kind::timeout
+                                          : error_kind::backend_failed,
+                              "the server returned no complete response"));
+  co_return next_step::finished;
+}
+
+}  // namespace cardamomyard
--- a/packages/gateway/src/gateway/request_state.h
+++ b/packages/gateway/src/gateway/request_state.h
@@ -13,6 +13,7 @@
 #include "cardamomyard/net.h"
 #include "cardamomyard/wire.h"
 #include "src/gateway/protocol.h"
+#include "src/gateway/server_attempt.h"
 
 namespace cardamomyard {
 
@@ -41,11 +42,23 @@
   bool may_have_run = false;
   /// Whether it finds out if servers still crash under what it holds.
   bool is_trial = false;
-  int attempt_events = 0;  ///< Events received in the current attempt.
+  /// The attempt whose response is relayed, and the one that is to replace it
+  /// while its server is silent.
+  std::shared_ptr<server_attempt> attempt;
+  std::shared_ptr<server_attempt> successor;
 
   /// Whether the caller has disconnected; all work for the request must stop.
   bool caller_left = false;
-  std::shared_ptr<call_canceller> canceller;
+
+  /// Ends the request at the servers because its caller has left.
+  void Leave() {
+    caller_left = true;
+    for (const auto& running : {attempt, successor}) {
+      if (running) {
+        running->Cancel();
+      }
+    }
+  }
 
   /// For a stream: whether the response head was sent to the caller, and the id
   /// of the last event relayed.
--- /dev/null
+++ b/packages/gateway/src/gateway/server_attempt.h
@@ -0,0 +1,98 @@
+#ifndef CARDAMOMYARD_GATEWAY_SERVER_ATTEMPT_H_
+#define CARDAMOMYARD_GATEWAY_SERVER_ATTEMPT_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cardamomyard/base.h"
+#include "cardamomyard/fleet.h"
+#include "cardamomyard/net.h"
+#include "src/gateway/host_runtime.h"
+
+namespace cardamomyard {
+
+/// \brief One attempt of an online request at a backend server.
+///
+/// Waiting for the server never ends the attempt, so a server that is silent
+/// for a while can go on. The attempt counts in its server's load until it is
+/// cancelled or destroyed. Use it on the thread of the request.
+class server_attempt : public std::enable_shared_from_this<server_attempt> {
+ public:
+  /// Sends the request.
+  /// \param options  its callbacks are replaced, but for `origin_of`.
+  static std::shared_ptr<server_attempt> Start(
+      host_runtime& host,
+      const boost::asio::any_io_executor& executor,
+      chosen_backend place,
+      http_request message,
+      call_options options,
+      std::function<answer_origin(const header_list&)> origin_of);
+  ~server_attempt();
+  server_attempt(const server_attempt&) = delete;
+  server_attempt& operator=(const server_attempt&) = delete;
+
+  const backend_entry& backend() const { return place_.server.entry; }
+  std::chrono::milliseconds expected_wait() const {
+    return place_.expected_wait;
+  }
+  time_point started() const { return started_; }
+  /// \returns when a byte of the request may first have been sent.
+  std::optional<time_point> written() const { return written_; }
+
+  /// Waits for the response head or a failure. \returns whether one is there.
+  boost::asio::awaitable<bool> WaitForHead(time_point limit);
+  bool has_response() const { return response_.has_value(); }
+  /// \returns whether the attempt has failed before the request was sent.
+  bool unreachable() const {
+    return response_ && !*response_ &&
+           (!written_ || response_->error().ran() == outcome::not_run);
+  }
+  /// \returns the response once WaitForHead() has returned true.
+  const result<std::unique_ptr<http_call>>& response() const {
+    return *response_;
+  }
+  /// Reads the next piece of the body. \returns nothing when none has arrived
+  /// until \p limit; the read goes on and the next call returns its piece.
+  boost::asio::awaitable<std::optional<result<std::string>>> ReadSome(
+      time_point limit);
+  /// Closes the connection, which cancels the request at the server.
+  void Cancel();
+
+  int events = 0;  ///< Events received.
+  /// Whether the server has been reported as silent.
+  bool silence_reported = false;
+  /// When the next move away from the silent server is tried.
+  time_point next_move{};
+
+ private:
+  server_attempt(host_runtime& host,
+                 const boost::asio::any_io_executor& executor,
+                 chosen_backend place,
+                 std::function<answer_origin(const header_list&)> origin_of);
+  boost::asio::awaitable<void> Open(http_request message, call_options options);
+  boost::asio::awaitable<void> Read();
+  boost::asio::awaitable<void> WaitForChange(time_point limit);
+  void EndLoad();
+
+  host_runtime* host_;
+  chosen_backend place_;
+  std::function<answer_origin(const header_list&)> origin_of_;
+  std::function<bool()> may_send_;
+  std::shared_ptr<call_canceller> canceller_;
+  boost::asio::steady_timer changed_;
+  time_point started_;
+  std::optional<time_point> written_;
+  std::optional<result<std::unique_ptr<http_call>>> response_;
+  bool reading_ = false;
+  std::optional<result<std::string>> piece_;
+  bool cancelled_ = false;
+  bool counted_ = true;
+};
+
+}  // namespace cardamomyard
+
+#endif  // CARDAMOMYARD_GATEWAY_SERVER_ATTEMPT_H_
--- a/packages/net/test/connection_end_test.cc
+++ b/packages/net/test/connection_end_test.cc
@@ -78,7 +78,7 @@
   };
   const auto server = Serve(std::move(options));
   const auto next = [&] {
-    const unanswered_bytes unanswered = reported.get_future().get();
+    unanswered_bytes unanswered = reported.get_future().get();
     reported = std::promise<unanswered_bytes>();
     return unanswered;
   };
