Decide the limit of a wait for a request head again with each event

What callers saw: a request whose head began to arrive just before the idle timeout was cut at that timeout. A longer idle timeout of a new configuration did not hold for connections that were idle, although callers rely on it at once.

Cause: the limit was set when the wait began and kept by one composed read, and its expiry closed the socket. A cancel that fell between two reads of a head was lost; a request that had just been read was dropped with the socket.

Change: the head is read step by step. Before each step the limit is decided from what has arrived and from the state of the server; it cancels the read, which loses no bytes.

Two more faults of the same kind, in the same code: - An answer that was sent before the body of its request was read, as a 401 or 404, said nothing of closing, and the connection was closed after it.

--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -85,6 +85,9 @@
       stopping_ = true;
       host_->StartDraining();
     });
+    // A caller that is told so sends its next request elsewhere, so that few
+    // requests cross the close of their connection.
+    caller_server_->StopKeepAlive();
     WaitUntil(stop_started + kBalancerRemovalDelay, [] { return false; });
     caller_server_->StartDraining();
     caller_server_->StopListening();
--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -31,6 +31,7 @@
 namespace {
 
 constexpr std::size_t kReadChunkBytes = 64 * 1024;
+constexpr std::size_t kHeadChunkBytes = 4096;
 // Above any limit for heads, since that may be raised while connections are
 // open. The buffer grows only when it is needed.
 constexpr std::size_t kMaxBufferedBytes = 1024 * 1024;
@@ -237,7 +238,10 @@
  private:
   plain_stream& lowest() { return beast::get_lowest_layer(stream_); }
 
-  bool KeepAlive() const { return keep_alive_ && !state_.draining; }
+  /// A connection cannot be kept when the body of its request was not read.
+  bool KeepAlive() const {
+    return keep_alive_ && state_.keeps_connections && parser_.is_done();
+  }
 
   static tl::unexpected<error> WriteFailure(
       const boost::system::error_code& code) {
@@ -317,6 +321,67 @@
   co_await http::async_write(stream, message, kUseResult);
 }
 
+/// Cancels the reads of a connection at \p limit unless it is destroyed first.
+/// An expiring stream would close the connection, and with it lose a request
+/// that has just been read.
+class read_limit {
+ public:
+  read_limit(plain_stream& stream, time_point limit)
+      : timer_(stream.get_executor(), limit) {
+    timer_.async_wait([&stream, pending = std::weak_ptr<char>(pending_)](
+                          const boost::system::error_code& code) {
+      if (!code && !pending.expired()) {
+        stream.cancel();
+      }
+    });
+  }
+
+ private:
+  std::shared_ptr<char> pending_ = std::make_shared<char>();
+  asio::steady_timer timer_;
+};
+
+/// When the wait for the head of a request ends.
+class head_deadline {
+ public:
+  head_deadline(const server_state& state, bool first)
+      : state_(&state),
+        first_(first),
+        began_(std::chrono::steady_clock::now()),
+        idle_timeout_(state.idle_timeout) {}
+
+  /// To be called when the first bytes of the head are there.
+  void Begin() {
+    if (!arriving_) {
+      arriving_ = true;
+      began_ = std::chrono::steady_clock::now();
+    }
+  }
+  bool arriving() const { return arriving_; }
+
+  time_point Get() const {
+    std::chrono::milliseconds timeout = state_->read_timeout;
+    if (!first_ && !arriving_) {
+      // Callers that know of a longer limit rely on it at once.
+      timeout = std::max(idle_timeout_, state_->idle_timeout.load());
+    }
+    const time_point limit = began_ + timeout;
+    if (!state_->draining) {
+      return limit;
+    }
+    return std::min<time_point>(
+        limit, std::max<time_point>(began_, state_->draining_since) +
+                   kDrainingHeadTimeout);
+  }
+
+ private:
+  const server_state* state_;
+  bool first_;
+  bool arriving_ = false;
+  time_point began_;
+  std::chrono::milliseconds idle_timeout_;
+};
+
 /// Waits for the next request and reads its head.
 template <class Stream>
 asio::awaitable<boost::system::error_code> ReadHead(
@@ -327,23 +392,39 @@
     bool first) {
   plain_stream& lowest = beast::get_lowest_layer(stream);
   const idle_scope idle(state, lowest);
+  head_deadline deadline(state, first);
+  lowest.expires_never();
   while (true) {
-    const bool draining = state.draining;
-    const bool expected = first || buffer.size() > 0 || HasUnreadBytes(lowest);
-    if (draining && !expected) {
+    if (buffer.size() > 0) {
+      deadline.Begin();
+      boost::system::error_code code;
+      buffer.consume(parser.put(buffer.data(), code));
+      if (code && code != http::error::need_more) {
+        co_return code;
+      }
+      if (parser.is_header_done()) {
+        co_return boost::system::error_code();
+      }
+    }
+    const bool unread = HasUnreadBytes(lowest);
+    if (state.draining && !first && !deadline.arriving() && !unread) {
       co_return http::make_error_code(http::error::end_of_stream);
     }
-    std::chrono::milliseconds timeout =
-        first ? state.read_timeout.load() : state.idle_timeout.load();
-    if (draining) {
-      timeout = std::min(timeout, kDrainingHeadTimeout);
+    const time_point limit = deadline.Get();
+    if (std::chrono::steady_clock::now() >= limit && !unread) {
+      co_return beast::error::timeout;
     }
-    lowest.expires_after(timeout);
-    auto [code, bytes] =
-        co_await http::async_read_header(stream, buffer, parser, kUseResult);
-    // Draining cancels the read, which loses no bytes, and it is decided again
-    // whether to wait for the request.
-    if (code != asio::error::operation_aborted || !state.draining) {
+    const read_limit limiting(lowest, limit);
+    auto [code, bytes] = co_await stream.async_read_some(
+        buffer.prepare(kHeadChunkBytes), kUseResult);
+    buffer.commit(bytes);
+    if (code == asio::error::eof) {
+      co_return http::make_error_code(deadline.arriving()
+                                          ? http::error::partial_message
+                                          : http::error::end_of_stream);
+    }
+    // A cancelled read loses no bytes; the limit is decided again.
+    if (code && code != asio::error::operation_aborted) {
       co_return code;
     }
   }
@@ -490,14 +571,21 @@
                  std::chrono::milliseconds idle_timeout) override {
     state_->max_header_bytes = max_header_bytes;
     state_->read_timeout = read_timeout;
-    state_->idle_timeout = idle_timeout;
+    if (state_->idle_timeout.exchange(idle_timeout) < idle_timeout) {
+      // The connections that wait read again with the longer limit.
+      CancelIdleReads(state_);
+    }
   }
 
   void Start() override {
     asio::co_spawn(acceptor_.get_executor(), Accept(), asio::detached);
   }
 
+  void StopKeepAlive() override { state_->keeps_connections = false; }
+
   void StartDraining() override {
+    StopKeepAlive();
+    state_->draining_since = std::chrono::steady_clock::now();
     state_->draining = true;
     CancelIdleReads(state_);
   }
--- a/packages/net/src/net/http_server.h
+++ b/packages/net/src/net/http_server.h
@@ -110,13 +110,17 @@
   /// \returns the bound address; its port is set also when 0 was asked for.
   virtual host_address address() const = 0;
   virtual void Start() = 0;
-  /// Replaces the limits for connections and requests that come later.
+  /// Replaces the limits for connections and requests that come later. A longer
+  /// idle timeout also holds for connections that are idle now.
   virtual void SetLimits(std::size_t max_header_bytes,
                          std::chrono::milliseconds read_timeout,
                          std::chrono::milliseconds idle_timeout) = 0;
-  /// Ends keep-alive: each answer from now on closes its connection, and idle
-  /// connections close, except that a request that is expected or has begun to
-  /// arrive gets some time. New connections are still accepted.
+  /// Ends keep-alive: each answer from now on closes its connection. Idle
+  /// connections stay open.
+  virtual void StopKeepAlive() = 0;
+  /// Ends keep-alive and closes idle connections, except that a request that is
+  /// expected or has begun to arrive gets some time. New connections are still
+  /// accepted.
   virtual void StartDraining() = 0;
   /// Stops accepting connections, after those that are already established.
   virtual void StopListening() = 0;
--- a/packages/net/src/net/server_state.h
+++ b/packages/net/src/net/server_state.h
@@ -27,7 +27,9 @@
   std::atomic<std::size_t> max_header_bytes{0};
   std::atomic<std::chrono::milliseconds> read_timeout{};
   std::atomic<std::chrono::milliseconds> idle_timeout{};
+  std::atomic<bool> keeps_connections{true};
   std::atomic<bool> draining{false};
+  std::atomic<time_point> draining_since{};
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> active{0};
   std::atomic<bool> accepting{true};
--- a/packages/net/test/connection_end_test.cc
+++ b/packages/net/test/connection_end_test.cc
@@ -24,6 +24,7 @@
 
 constexpr std::string_view kRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr milliseconds kShortIdle{200};
+constexpr milliseconds kLongIdle{60'000};
 
 /// A server that answers without reading the body, but for /none, which gets
 /// no answer.
@@ -66,10 +67,65 @@
     return bytes;
   }
 
+  /// Returns after the idle timeout of every connection that is idle now.
+  void WaitForIdleTimeout() {
+    const auto other = Serve();
+    tcp::socket socket = Connect(*other);
+    Ask(socket);
+    ReadToEnd(socket);
+  }
+
   asio::io_context context_;
   thread_pool threads_{1};
 };
 
+TEST_F(connection_end, AnswerBeforeTheBodyWasReadSaysThatTheConnectionCloses) {
+  const auto server = Serve();
+  tcp::socket socket = Connect(*server);
+  const std::string answer = Ask(
+      socket, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+}
+
+TEST_F(connection_end, HeadThatBeganBeforeTheIdleTimeoutIsAnswered) {
+  const auto server = Serve();
+  tcp::socket socket = Connect(*server);
+  Ask(socket);
+  asio::write(socket, asio::buffer(kRequest.substr(0, 10)));
+  WaitForIdleTimeout();
+  const std::string answer = Ask(socket, kRequest.substr(10));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+}
+
+TEST_F(connection_end, LongerIdleTimeoutHoldsForConnectionsThatAreIdle) {
+  const auto server = Serve();
+  tcp::socket socket = Connect(*server);
+  Ask(socket);
+  server->SetLimits(16 * 1024, kLongIdle, kLongIdle);
+  WaitForIdleTimeout();
+  WaitForIdleTimeout();
+  const std::string answer = Ask(socket);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+}
+
+TEST_F(connection_end, IdleConnectionsCloseAfterTheIdleTimeout) {
+  const auto server = Serve();
+  tcp::socket socket = Connect(*server);
+  Ask(socket);
+  EXPECT_EQ(ReadToEnd(socket), "");
+}
+
+TEST_F(connection_end, IdleConnectionIsToldToCloseByItsNextAnswer) {
+  const auto server = Serve();
+  tcp::socket socket = Connect(*server);
+  const std::string first = Ask(socket);
+  EXPECT_EQ(first.find("Connection: close"), std::string::npos) << first;
+  server->StopKeepAlive();
+  const std::string second = Ask(socket);
+  EXPECT_TRUE(second.starts_with("HTTP/1.1 200")) << second;
+  EXPECT_NE(second.find("Connection: close"), std::string::npos) << second;
+}
+
 TEST_F(connection_end, BytesWithoutAnAnswerAreReported) {
   std::promise<unanswered_bytes> reported;
   http_server_options options;
