--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -30,10 +30,12 @@
   return folder;
 }
 
-json::object Route(const std::string& name,
-                   const std::string& type,
-                   bool resumes,
-                   const std::string& service = "lm") {
+}  // namespace
+
+json::object platform_fleet::MakeRoute(const std::string& name,
+                                       const std::string& type,
+                                       bool resumes,
+                                       const std::string& service) {
   return {{"name", name},
           {"host", "shop.example"},
           {"path-prefix", "/" + name + "/"},
@@ -48,8 +50,6 @@
           {"can-resume", resumes}};
 }
 
-}  // namespace
-
 platform_fleet::platform_fleet(const platform_size& size)
     : size_(size), folder_(NewFolder()) {
   auto store = std::make_unique<standins::platform_store>();
@@ -90,25 +90,35 @@
 
 void platform_fleet::Configure(int version,
                                const std::vector<std::string>& keys) {
-  json::array api_keys(keys.begin(), keys.end());
-  json::array routes{Route("ask", "streaming", true),
-                     Route("draft", "streaming", false),
-                     Route("lots", "batch", true)};
+  json::array routes{MakeRoute("ask", "streaming", true),
+                     MakeRoute("draft", "streaming", false),
+                     MakeRoute("lots", "batch", true)};
   routes.insert(routes.end(), added_routes_.begin(), added_routes_.end());
-  store_->Put("config", "main",
-              json::object{{"version", version},
-                           {"routes", std::move(routes)},
-                           {"services", json::array{}},
-                           {"tenants", json::array{json::object{
-                                           {"name", "acme"},
+  Configure(version, keys, routes, {});
+}
+
+void platform_fleet::Configure(int version,
+                               const std::vector<std::string>& keys,
+                               const json::array& routes,
+                               const json::object& limits) {
+  json::array api_keys(keys.begin(), keys.end());
+  json::object spec{
+      {"version", version},
+      {"routes", routes},
+      {"services", json::array{}},
+      {"tenants", json::array{json::object{{"name", "acme"},
                                            {"api-keys", std::move(api_keys)},
                                            {"rate-per-s", size_.rate_per_s},
-                                           {"burst", size_.rate_per_s}}}}});
+                                           {"burst", size_.rate_per_s}}}}};
+  if (!limits.empty()) {
+    spec["limits"] = limits;
+  }
+  store_->Put("config", "main", std::move(spec));
 }
 
 void platform_fleet::AddBatchRoute(const std::string& name,
                                    const std::string& service) {
-  added_routes_.push_back(Route(name, "batch", true, service));
+  added_routes_.push_back(MakeRoute(name, "batch", true, service));
 }
 
 platform_fleet::host platform_fleet::Start(
@@ -156,6 +166,15 @@
   return made;
 }
 
+void platform_fleet::StartAgain(host& ended) {
+  auto started = child_process::Start(ended.process->command());
+  if (!started) {
+    throw std::runtime_error(started.error().message());
+  }
+  processes_.push_back(std::move(*started));
+  ended.process = processes_.back().get();
+}
+
 bool platform_fleet::Ready(const host& gateway) {
   http_request request;
   request.target = "/v1/ready";
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -63,6 +63,17 @@
   /// not) and lots (batch), and one account with \p keys.
   void Configure(int version, const std::vector<std::string>& keys);
 
+  /// Writes a configuration with these parts.
+  void Configure(int version,
+                 const std::vector<std::string>& keys,
+                 const boost::json::array& routes,
+                 const boost::json::object& limits);
+  /// \returns a route NAME with the path prefix /NAME/.
+  static boost::json::object MakeRoute(const std::string& name,
+                                       const std::string& type,
+                                       bool resumes,
+                                       const std::string& service = "lm");
+
   /// Adds a batch route to \p service to the configurations that Configure()
   /// writes from now on.
   void AddBatchRoute(const std::string& name, const std::string& service);
@@ -75,6 +86,8 @@
   host Start(const std::string& role,
              const std::string& name,
              const std::vector<std::string>& flags = {});
+  /// Starts an ended process again, with the same settings and addresses.
+  void StartAgain(host& ended);
   /// \returns whether the gateway says that it is ready.
   bool Ready(const host& gateway);
 
