Go on with a request that may have run as long as its time lasts

Callers saw streams cut and 502s when the server that took a request from a silent one was silent itself and then refused it: the attempts were used up, or no server was free within 50 ms.

Cause: a request that can no longer be refused truthfully was still given up by the limits that are meant for refusing early: refusals counted as attempts, and the wait for a slot ended after a sixth of the latency objective.

Change: a repeatable request that may have run waits for a server until its deadline, and refusals do not count for it, as no server ran it there. A started stream also asks servers again that it has been sent to before.

--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -139,8 +139,11 @@
   placement_.SetHosts(std::move(hosts));
   const std::chrono::milliseconds max_queue_wait =
       Scale(objective, kMaxQueueWaitShare);
-  const time_point give_up = std::min(
-      request.deadline, host_->time().Now() + objective / kSlotWaitDivisor);
+  const time_point give_up =
+      MustGoOn(request)
+          ? request.deadline
+          : std::min(request.deadline,
+                     host_->time().Now() + objective / kSlotWaitDivisor);
   while (true) {
     const time_point now = host_->time().Now();
     if (now + kDeadlineMargin >= request.deadline) {
@@ -155,6 +158,13 @@
     if (auto* place = std::get_if<chosen_backend>(&chosen)) {
       co_return std::move(*place);
     }
+    if (std::holds_alternative<no_usable_backend>(chosen) &&
+        request.head_sent && !request.caller_left) {
+      // Servers that refused or failed may take the rest of the response now.
+      request.tried.clear();
+      co_await SleepFor(kMoveRetryInterval);
+      continue;
+    }
     if (std::holds_alternative<no_usable_backend>(chosen) || now >= give_up ||
         request.caller_left) {
       const auto* all_full = std::get_if<all_backends_busy>(&chosen);
@@ -172,6 +182,11 @@
   }
 }
 
+bool request_handler::MustGoOn(const request_state& request) const {
+  return request.route->repeatable() &&
+         (request.head_sent || request.may_have_run);
+}
+
 bool request_handler::CanMove(const request_state& request) const {
   return request.route->repeatable() &&
          request.attempts < request.route->max_attempts &&
@@ -274,7 +289,7 @@
                                              attempt->response().error());
     }
     RecordUnreachable(request, *attempt);
-    if (request.tried.size() < kMaxTriedServers) {
+    if (request.tried.size() < kMaxTriedServers || MustGoOn(request)) {
       co_return next_step::retry;
     }
     co_await Refuse(request, error::Make(error_kind::no_backend,
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -76,6 +76,9 @@
   boost::asio::awaitable<result<chosen_backend>> WaitForPlacement(
       request_state& request);
   boost::asio::awaitable<void> Refuse(request_state& request, error cause);
+  /// \returns whether the request can no longer be refused as not run, so that
+  /// it waits for a server as long as its time lasts.
+  bool MustGoOn(const request_state& request) const;
   /// \returns whether the request may be sent to one more server.
   bool CanMove(const request_state& request) const;
   /// \returns when a server without a response head is taken for silent.
--- a/packages/gateway/src/gateway/request_relay.cc
+++ b/packages/gateway/src/gateway/request_relay.cc
@@ -52,6 +52,9 @@
   } else {
     host_->pool().RecordOverload(attempt.backend().id, host_->time().Now());
   }
+  if (MustGoOn(request)) {
+    --request.attempts;
+  }
   log_.Info("A server refused a request.", {{"request", request.caller.id},
                                             {"backend", attempt.backend().id},
                                             {"status", head.status},
