Refuse or end requests that outlast a stop of a gateway

A gateway that was asked to stop took requests on its open connections through the whole grace period with their full time limit. What ran at its end was cut without an answer, among them requests that may not be repeated.

Cause: nothing compared the time limit with what was left of the grace.

stop_schedule decides it. Once new connections have stopped to arrive, a request or batch call that outlasts the stop is refused as draining, before any server gets it. Running requests get their deadline shortened to 200 ms before the end, so that they end with 504, or with 503 when they were sent to no server. A stream whose head was sent may go on until the end.

--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -3,12 +3,16 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <future>
+#include <optional>
 #include <thread>
 #include <utility>
+#include <variant>
 
+#include "cardamomyard/limits.h"
 #include "src/gateway/job_frontend.h"
 #include "src/gateway/quota_gate.h"
 #include "src/gateway/request_handler.h"
+#include "src/gateway/request_limits.h"
 #include "src/gateway/request_state.h"
 
 namespace cardamomyard {
@@ -22,6 +26,8 @@
 // Stopping ends this long before the process would be killed.
 constexpr std::chrono::milliseconds kStopMargin{400};
 constexpr std::chrono::milliseconds kStopPollInterval{20};
+// The last answers leave and their connections close within this time.
+constexpr std::chrono::milliseconds kLastAnswersTime{200};
 // Applies when the route sets no timeout.
 constexpr std::chrono::milliseconds kDefaultTimeout{30'000};
 // A starting host receives its configuration with its first call to the store.
@@ -81,9 +87,13 @@
     const time_point stop_started = host_->time().Now();
     const time_point end =
         stop_started + host_->settings().bounds.stop_grace - kStopMargin;
-    RunOnTrafficThread([this] {
+    const auto schedule = stop_schedule::Make(
+        stop_started + kBalancerRemovalDelay, end, kLastAnswersTime);
+    RunOnTrafficThread([this, &schedule] {
       stopping_ = true;
+      schedule_ = schedule;
       host_->StartDraining();
+      request_handler_->BeginStop(schedule);
     });
     // A caller that is told so sends its next request elsewhere, so that few
     // requests cross the close of their connection.
@@ -92,8 +102,14 @@
     caller_server_->StartDraining();
     caller_server_->StopListening();
     WaitUntil(end, [this] { return caller_server_->drained(); });
-    log_.Info("The gateway has stopped.",
-              {{"cut_requests", caller_server_->active_requests()}});
+    RunOnTrafficThread([this] {
+      const stop_counts& stopped = request_handler_->stopped();
+      log_.Info("The gateway has stopped.",
+                {{"refused_late", refused_late_},
+                 {"ended_requests", stopped.ended},
+                 {"cut_requests", static_cast<std::size_t>(stopped.cut) +
+                                      caller_server_->active_requests()}});
+    });
   }
 
  private:
@@ -199,7 +215,7 @@
           caller->id);
       co_return;
     }
-    const auto call = host_->codec().ParseJobCall(exchange.request());
+    auto call = host_->codec().ParseJobCall(exchange.request());
     const service_route* route =
         call ? nullptr : configuration->MatchRoute(caller->host, caller->path);
     if (!call && route == nullptr) {
@@ -229,6 +245,16 @@
       co_await Refuse(exchange, body.error(), caller->id);
       co_return;
     }
+    const time_point time_limit = arrived + TimeLimit(*caller, call, route);
+    if (schedule_ && !schedule_->MayTake(host_->time().Now(), time_limit)) {
+      ++refused_late_;
+      co_await Refuse(exchange,
+                      error::Make(error_kind::draining,
+                                  "this host stops before the time limit")
+                          .WithRetryAfter(std::chrono::milliseconds(0)),
+                      caller->id, configuration.get());
+      co_return;
+    }
     if (call || route->kind == route_kind::batch) {
       http_response response;
       if (!call) {
@@ -237,6 +263,12 @@
       } else if (!*call) {
         response = host_->codec().MakeErrorResponse(call->error(), caller->id);
       } else {
+        if (auto* read = std::get_if<read_job>(&**call); read && schedule_) {
+          read->wait = ToMilliseconds(schedule_->LimitWait(
+              host_->time().Now(),
+              std::min(read->wait, job_frontend::kMaxReadWait),
+              job_frontend::kReadTime));
+        }
         response =
             co_await job_frontend_->HandleJobCall(*caller, **call, account);
       }
@@ -256,7 +288,8 @@
     }
     request->body = std::move(*body);
     request->arrived = arrived;
-    request->deadline = arrived + Timeout(*caller, *route);
+    request->time_limit = time_limit;
+    request->deadline = time_limit;
     if (!account.empty()) {
       if (const auto wait = quotas_->Admit(account)) {
         log_.Info("A request is over its account's quota.",
@@ -277,6 +310,19 @@
     co_await request_handler_->Handle(exchange, std::move(request));
   }
 
+  static std::chrono::milliseconds TimeLimit(
+      const inbound_request& caller,
+      const std::optional<result<job_call>>& call,
+      const service_route* route) {
+    if (call && *call && !std::holds_alternative<cancel_job>(**call)) {
+      return job_frontend::kReadTime;
+    }
+    if (call || route->kind == route_kind::batch) {
+      return job_frontend::kWriteTime;
+    }
+    return Timeout(caller, *route);
+  }
+
   static std::chrono::milliseconds Timeout(const inbound_request& caller,
                                            const service_route& route) {
     const auto max_timeout =
@@ -334,6 +380,8 @@
   std::unique_ptr<http_server> readiness_server_;
   part_log log_{"gateway"};
   bool stopping_ = false;
+  std::optional<stop_schedule> schedule_;
+  int refused_late_ = 0;
 };
 
 }  // namespace
--- a/packages/gateway/src/gateway/job_frontend.cc
+++ b/packages/gateway/src/gateway/job_frontend.cc
@@ -11,10 +11,6 @@
 
 namespace {
 
-// A caller of a batch route waits some seconds for the response.
-constexpr std::chrono::milliseconds kStoreTimeout{2500};
-constexpr std::chrono::milliseconds kCancelTimeout{2500};
-constexpr std::chrono::milliseconds kMaxReadWait{1000};
 constexpr std::chrono::milliseconds kPeerConnectTimeout{200};
 constexpr std::chrono::milliseconds kPeerResponseTimeout{600};
 // Limit for one response with results; callers accept at most 1 MB.
@@ -162,9 +158,9 @@
     // Counted before the store answers, so that concurrent submissions do not
     // each pass the cap with the same remaining tokens.
     recent_jobs_[record.id] = {account, route.name, record.tokens,
-                               began + kStoreTimeout + kBacklogReportDelay};
+                               began + kWriteTime + kBacklogReportDelay};
     const result<void> stored =
-        co_await host_->jobs().Accept(record, *input, began + kStoreTimeout);
+        co_await host_->jobs().Accept(record, *input, began + kWriteTime);
     if (!stored) {
       recent_jobs_.erase(record.id);
       const error& cause = stored.error();
@@ -371,7 +367,7 @@
     cancel_job call,
     std::string account) {
   const result<std::string> ended = co_await host_->jobs().Cancel(
-      call.job, account, host_->time().Now() + kCancelTimeout);
+      call.job, account, host_->time().Now() + kWriteTime);
   if (!ended) {
     // The job may have been cancelled nevertheless; the caller has to retry.
     const error& cause = ended.error();
--- a/packages/gateway/src/gateway/job_frontend.h
+++ b/packages/gateway/src/gateway/job_frontend.h
@@ -2,6 +2,7 @@
 #define CARDAMOMYARD_GATEWAY_JOB_FRONTEND_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <chrono>
 #include <list>
 #include <map>
 #include <memory>
@@ -27,6 +28,16 @@
 /// answer; both return only results that are stored.
 class job_frontend {
  public:
+  /// How long a caller of a batch route waits for a job to be accepted or
+  /// cancelled.
+  static constexpr std::chrono::milliseconds kWriteTime{2500};
+  /// How long reading takes while the store answers, without the wait that the
+  /// caller asks for.
+  static constexpr std::chrono::milliseconds kReadTime{1500};
+
+  /// The longest wait that a read grants its caller.
+  static constexpr std::chrono::milliseconds kMaxReadWait{1000};
+
   explicit job_frontend(host_runtime& host);
 
   boost::asio::awaitable<http_response> Submit(const inbound_request& caller,
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -55,13 +55,37 @@
     http_exchange& exchange,
     std::shared_ptr<request_state> request) {
   exchange.WatchPeer([request] { request->Leave(); });
+  request->stop = stop_;
+  request->UpdateDeadline();
+  running_.insert(request);
   co_await Serve(*request);
+  running_.erase(request);
+  CountStopped(*request);
   if (request->is_trial && !request->may_have_run) {
     host_->crashes().CancelTrial(request->suspect);
   }
   LogOutcome(*request);
 }
 
+void request_handler::BeginStop(const stop_schedule& schedule) {
+  stop_ = schedule;
+  for (const auto& request : running_) {
+    request->LimitTo(schedule);
+  }
+}
+
+void request_handler::CountStopped(const request_state& request) {
+  if (!request.ends_with_stop() || request.caller_left ||
+      host_->time().Now() + kDeadlineMargin < request.deadline) {
+    return;
+  }
+  if (request.head_sent && request.outcome_label == "cut") {
+    ++stopped_.cut;
+  } else if (request.outcome_label != "answered") {
+    ++stopped_.ended;
+  }
+}
+
 asio::awaitable<void> request_handler::Serve(request_state& request) {
   request.service = placement_.PickService(*request.route);
   while (true) {
@@ -147,9 +171,11 @@
   while (true) {
     const time_point now = host_->time().Now();
     if (now + kDeadlineMargin >= request.deadline) {
+      const error_kind not_run = request.ends_with_stop()
+                                     ? error_kind::draining
+                                     : error_kind::overloaded;
       co_return Fail(
-          error::Make(request.may_have_run ? error_kind::timeout
-                                           : error_kind::overloaded,
+          error::Make(request.may_have_run ? error_kind::timeout : not_run,
                       "no server had a free slot before the deadline")
               .WithRetryAfter(std::chrono::milliseconds(0)));
     }
@@ -196,7 +222,7 @@
 time_point request_handler::HeadDeadline(const request_state& request,
                                          const server_attempt& attempt) const {
   if (!CanMove(request)) {
-    return time_point::max();  // The call ends at the deadline.
+    return request.deadline;
   }
   const auto limit =
       std::max(kMinHeadTimeout,
@@ -274,7 +300,12 @@
     request_state& request) {
   const std::shared_ptr<server_attempt> attempt = request.attempt;
   while (!co_await attempt->WaitForHead(HeadDeadline(request, *attempt))) {
-    if (CanMove(request) && co_await MoveFromSilentServer(request)) {
+    const time_point now = host_->time().Now();
+    if (now >= request.deadline && !request.caller_left) {
+      co_return co_await EndUnanswered(request, *attempt);
+    }
+    if (now >= HeadDeadline(request, *attempt) && CanMove(request) &&
+        co_await MoveFromSilentServer(request)) {
       co_return next_step::moved;
     }
   }
@@ -305,6 +336,25 @@
   co_return next;
 }
 
+asio::awaitable<request_handler::next_step> request_handler::EndUnanswered(
+    request_state& request,
+    server_attempt& attempt) {
+  const bool was_sent = attempt.written().has_value();
+  attempt.Cancel();
+  if (was_sent) {
+    co_return co_await HandleBrokenAttempt(
+        request, attempt,
+        error::Make(error_kind::timeout, "the deadline has passed"));
+  }
+  const error_kind not_run =
+      request.ends_with_stop() ? error_kind::draining : error_kind::overloaded;
+  co_await Refuse(
+      request, error::Make(request.may_have_run ? error_kind::timeout : not_run,
+                           "no server took the request before the deadline")
+                   .WithRetryAfter(std::chrono::milliseconds(0)));
+  co_return next_step::finished;
+}
+
 void request_handler::RecordUnreachable(request_state& request,
                                         server_attempt& attempt) {
   --request.attempts;
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -4,11 +4,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "cardamomyard/base.h"
 #include "cardamomyard/fleet.h"
+#include "cardamomyard/limits.h"
 #include "cardamomyard/net.h"
 #include "src/gateway/host_runtime.h"
 #include "src/gateway/quota_gate.h"
@@ -17,6 +19,12 @@
 
 namespace cardamomyard {
 
+/// \brief What a planned stop did to requests that it did not let finish.
+struct stop_counts {
+  int ended = 0;  ///< They got an error as their answer.
+  int cut = 0;    ///< Their answer had begun.
+};
+
 /// \brief Serves online requests: sends each to a backend server, relays the
 /// response, and retries at another server where the route allows it.
 class request_handler {
@@ -27,6 +35,10 @@
   boost::asio::awaitable<void> Handle(http_exchange& exchange,
                                       std::shared_ptr<request_state> request);
 
+  /// Ends running and later requests in time for a planned stop of this host.
+  void BeginStop(const stop_schedule& schedule);
+  const stop_counts& stopped() const { return stopped_; }
+
  private:
   /// The step that follows an attempt.
   enum class next_step {
@@ -46,6 +58,9 @@
   /// server. The current one ends only when the other server has taken the
   /// request. \returns whether it was replaced.
   boost::asio::awaitable<bool> MoveFromSilentServer(request_state& request);
+  /// Ends a request whose server has not answered until its deadline.
+  boost::asio::awaitable<next_step> EndUnanswered(request_state& request,
+                                                  server_attempt& attempt);
   /// Waits until the successor has answered or is taken for running.
   boost::asio::awaitable<void> AwaitSuccessor(request_state& request);
   boost::asio::awaitable<next_step> HandleResponse(request_state& request,
@@ -89,11 +104,15 @@
   time_point EventDeadline(const request_state& request,
                            const server_attempt& attempt,
                            time_point last_event) const;
+  void CountStopped(const request_state& request);
   void LogOutcome(const request_state& request);
 
   host_runtime* host_;
   quota_gate* quotas_;
   online_placement placement_;
+  std::set<std::shared_ptr<request_state>> running_;
+  std::optional<stop_schedule> stop_;
+  stop_counts stopped_;
   part_log log_{"online"};
   part_log crash_log_{"crashes"};
 };
--- a/packages/gateway/src/gateway/request_relay.cc
+++ b/packages/gateway/src/gateway/request_relay.cc
@@ -102,7 +102,6 @@
                     "status " + std::to_string(head.status) +
                         " does not go on with the stream"));
   }
-  call.LimitReads(request.deadline - host_->time().Now());
   co_return co_await RelayBuffered(request, attempt);
 }
 
@@ -110,7 +109,33 @@
     request_state& request,
     server_attempt& attempt) {
   http_call& call = **attempt.response();
-  result<std::string> body = co_await call.ReadAll(kMaxBufferedResponseBytes);
+  call.LimitReads(request.deadline - host_->time().Now());
+  result<std::string> body = std::string();
+  while (!request.caller_left) {
+    const auto piece = co_await attempt.ReadSome(request.deadline);
+    if (!piece) {
+      if (host_->time().Now() < request.deadline) {
+        continue;
+      }
+      attempt.Cancel();
+      body = Fail(error_kind::timeout, "the deadline has passed");
+      break;
+    }
+    if (!*piece) {
+      body = Fail(piece->error());
+      break;
+    }
+    if ((*piece)->empty()) {
+      break;
+    }
+    if (body->size() + (*piece)->size() > kMaxBufferedResponseBytes) {
+      body = Fail(
+          error::Make(error_kind::too_large, "the server's answer is too large")
+              .WithOutcome(outcome::ran));
+      break;
+    }
+    *body += **piece;
+  }
   if (request.caller_left) {
     request.outcome_label = "caller_left";
     request.exchange->Abort();
@@ -203,6 +228,8 @@
       const result<void> started = co_await request.exchange->StartStream(
           call.status(), host_->codec().FilterResponseHeaders(call.headers()));
       request.head_sent = true;
+      request.UpdateDeadline();
+      call.LimitReads(request.deadline - host_->time().Now());
       request.status = call.status();
       request.first_byte = host_->time().Now();
       if (!started) {
--- a/packages/gateway/src/gateway/request_state.h
+++ b/packages/gateway/src/gateway/request_state.h
@@ -10,6 +10,7 @@
 
 #include "cardamomyard/base.h"
 #include "cardamomyard/fleet.h"
+#include "cardamomyard/limits.h"
 #include "cardamomyard/net.h"
 #include "cardamomyard/wire.h"
 #include "src/gateway/protocol.h"
@@ -33,7 +34,32 @@
   std::string service;
 
   time_point arrived;
+  /// When it ends; never later than its time limit.
   time_point deadline;
+  time_point time_limit;
+  /// Set from the begin of a planned stop on.
+  std::optional<stop_schedule> stop;
+
+  /// Sets the deadline to what the time limit and a planned stop allow.
+  void UpdateDeadline() {
+    deadline = time_limit;
+    if (stop) {
+      deadline = head_sent ? stop->LimitStream(time_limit)
+                           : stop->LimitAnswer(time_limit);
+    }
+  }
+  bool ends_with_stop() const { return deadline < time_limit; }
+
+  /// Ends the request in time for a planned stop of this host.
+  void LimitTo(const stop_schedule& schedule) {
+    stop = schedule;
+    UpdateDeadline();
+    for (const auto& running : {attempt, successor}) {
+      if (running) {
+        running->Wake();
+      }
+    }
+  }
 
   /// Servers that it was sent to and servers that could not be reached.
   std::set<std::string> tried;
--- a/packages/gateway/src/gateway/server_attempt.h
+++ b/packages/gateway/src/gateway/server_attempt.h
@@ -59,6 +59,8 @@
   /// until \p limit; the read goes on and the next call returns its piece.
   boost::asio::awaitable<std::optional<result<std::string>>> ReadSome(
       time_point limit);
+  /// Lets a waiting call return at once, as at its limit.
+  void Wake() { changed_.cancel(); }
   /// Closes the connection, which cancels the request at the server.
   void Cancel();
 
--- a/packages/limits/include/cardamomyard/limits.h
+++ b/packages/limits/include/cardamomyard/limits.h
@@ -8,6 +8,7 @@
 #include "src/limits/fleet_quota.h"
 #include "src/limits/naive_limiter.h"
 #include "src/limits/share_table.h"
+#include "src/limits/stop_schedule.h"
 #include "src/limits/token_bucket.h"
 
 #endif  // CARDAMOMYARD_LIMITS_H_
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -94,6 +94,9 @@
                      MakeRoute("draft", "streaming", false),
                      MakeRoute("lots", "batch", true)};
   routes.insert(routes.end(), added_routes_.begin(), added_routes_.end());
+  for (json::value& route : routes) {
+    route.as_object()["timeout-ms"] = size_.time_limit.count();
+  }
   Configure(version, keys, routes, {});
 }
 
@@ -191,7 +194,7 @@
   request.target = target;
   request.headers.Add("Host", "shop.example");
   request.headers.Add("Request-Id", id);
-  request.headers.Add("Deadline-Ms", "5000");
+  request.headers.Add("Deadline-Ms", std::to_string(size_.time_limit.count()));
   if (!key.empty()) {
     request.headers.Add("Authorization", "Token " + key);
   }
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -23,6 +23,8 @@
   int engines = 2;
   int slots = 4;            ///< Of each backend server.
   double rate_per_s = 100;  ///< Of the one client account.
+  /// Of each request, at the route and in the request.
+  std::chrono::milliseconds time_limit{5000};
 };
 
 /// \brief Real gateways and workers beside a stand-in of the users' platform.
