Refuse or end requests that outlast the drain of an entry host

A draining entry host took requests on open connections whose time limit was longer than the drain, up to 600 s. At the end of the drain they were cut without an answer, and streams without an error event.

Cause: as in the gateway, nothing compared the limit with what was left of the drain.

The entry host follows the same stop_schedule: late requests that outlast the drain are refused as draining before a token is taken. One second before its end, or a quarter of a short drain, running requests end with a timeout (may_have_run; draining if nothing was sent) and streams with their error event.

--- a/packages/node/src/node/entry/caller_server.cc
+++ b/packages/node/src/node/entry/caller_server.cc
@@ -74,11 +74,13 @@
                              const entry_settings& settings,
                              config_follower& config,
                              forwarder& forward,
+                             stop_monitor& stop,
                              caller_services services)
     : context_(&context),
       settings_(&settings),
       config_(&config),
       forwarder_(&forward),
+      stop_(&stop),
       services_(std::move(services)) {}
 
 void caller_server::AddCallerApi(std::string path_prefix,
@@ -207,6 +209,9 @@
 std::function<std::optional<error>()> caller_server::MakeStreamCheck(
     const caller_request& request) const {
   return [this, key_id = request.key_id]() -> std::optional<error> {
+    if (std::optional<error> stopped = stop_->Check(context_->time().Now())) {
+      return stopped;
+    }
     if (key_id.empty()) {
       return std::nullopt;
     }
@@ -308,6 +313,12 @@
     std::string limited,
     std::optional<std::string> idempotency_key,
     forward_request forwarded) {
+  const time_point now = context_->time().Now();
+  if (!stop_->MayTake(now, now + forwarded.timeout)) {
+    co_return error::Make(error_kind::draining,
+                          "this host stops before the time limit")
+        .WithRetryAfter(std::chrono::milliseconds(0));
+  }
   result<void> admitted = co_await services_.take_token(std::move(limited));
   if (!admitted) {
     co_return admitted.error();
@@ -332,6 +343,9 @@
   std::optional<error> failure = co_await AdmitAndForward(
       exchange, std::move(limited), std::move(idempotency_key),
       std::move(forwarded));
+  if (failure && stop_->Check(context_->time().Now())) {
+    stop_->RecordEnded();
+  }
   if (services_.record_usage) {
     services_.record_usage(subject, failure, meter.tokens());
   }
--- a/packages/node/src/node/entry/caller_server.h
+++ b/packages/node/src/node/entry/caller_server.h
@@ -11,6 +11,7 @@
 #include "src/node/config_follower.h"
 #include "src/node/entry/caller.h"
 #include "src/node/entry/forwarder.h"
+#include "src/node/entry/stop_monitor.h"
 #include "src/node/entry/usage_ledger.h"
 #include "src/node/process_context.h"
 
@@ -50,6 +51,7 @@
                 const entry_settings& settings,
                 config_follower& config,
                 forwarder& forward,
+                stop_monitor& stop,
                 caller_services services);
 
   /// Adds an API below a path prefix such as "/v1/files". Its requests require
@@ -106,6 +108,7 @@
   const entry_settings* settings_;
   config_follower* config_;
   forwarder* forwarder_;
+  stop_monitor* stop_;
   caller_services services_;
   std::vector<caller_api> apis_;
   caller_handler admin_;
--- a/packages/node/src/node/entry/entry.cc
+++ b/packages/node/src/node/entry/entry.cc
@@ -1,5 +1,6 @@
 #include "src/node/entry/entry.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +25,11 @@
 constexpr std::chrono::milliseconds kBackendRefresh{100};
 constexpr std::chrono::milliseconds kDrainPoll{20};
 constexpr std::chrono::seconds kFinalFlushTimeout{10};
+// Running requests notice within this time that they must end, and their last
+// answers leave.
+constexpr std::chrono::milliseconds kLastAnswersTime{1000};
+// At most this share of the drain is kept for the last answers.
+constexpr int kLastAnswersDivisor = 4;
 
 }  // namespace
 
@@ -34,7 +40,7 @@
       backends_(*context_),
       suspects_(*context_),
       peers_(*context_, config_, cancelled_, suspects_),
-      forwarder_(*context_, backends_, suspects_),
+      forwarder_(*context_, backends_, suspects_, stop_),
       idempotent_(*context_, forwarder_),
       files_(*context_, config_),
       batches_(*context_, config_, cancelled_),
@@ -51,7 +57,12 @@
           context_->store(),
           context_->time(),
           settings_.common.id + "-" + std::to_string(context_->incarnation())),
-      callers_(*context_, settings_, config_, forwarder_, MakeServices()),
+      callers_(*context_,
+               settings_,
+               config_,
+               forwarder_,
+               stop_,
+               MakeServices()),
       admin_(MakeAdminServices()) {}
 
 entry::~entry() {
@@ -169,10 +180,15 @@
             {{"reason", "The process was asked to stop."}});
   // The load balancer needs time to notice the failing readiness check.
   std::this_thread::sleep_for(settings_.drain_notice);
+  const time_point started = context_->time().Now();
+  const duration drain_timeout = settings_.common.drain_timeout;
+  const time_point deadline = started + drain_timeout;
+  stop_.Begin(stop_schedule::Make(
+      started, deadline,
+      std::min<duration>(kLastAnswersTime,
+                         drain_timeout / kLastAnswersDivisor)));
   callers_.server().StartDraining();
   callers_.server().StopListening();
-  const time_point deadline =
-      context_->time().Now() + settings_.common.drain_timeout;
   while (!callers_.server().drained() && context_->time().Now() < deadline) {
     std::this_thread::sleep_for(kDrainPoll);
   }
@@ -182,7 +198,9 @@
     kLog.Error("The last usage sums may be missing from the ledger.", {});
   }
   kLog.Info("Entry host stopped.",
-            {{"cut_requests", callers_.server().active_requests()}});
+            {{"refused_late", stop_.refused()},
+             {"ended_requests", stop_.ended()},
+             {"cut_requests", callers_.server().active_requests()}});
   context_->StopThreads();
 }
 
--- a/packages/node/src/node/entry/entry.h
+++ b/packages/node/src/node/entry/entry.h
@@ -17,6 +17,7 @@
 #include "src/node/entry/forwarder.h"
 #include "src/node/entry/idempotency.h"
 #include "src/node/entry/peer_exchange.h"
+#include "src/node/entry/stop_monitor.h"
 #include "src/node/entry/suspect_registry.h"
 #include "src/node/entry/usage_ledger.h"
 #include "src/node/internal_server.h"
@@ -54,6 +55,7 @@
   std::unique_ptr<process_context> context_;
   config_follower config_;
   cancelled_jobs cancelled_;
+  stop_monitor stop_;
   backend_registry backends_;
   suspect_registry suspects_;
   peer_exchange peers_;
--- a/packages/node/src/node/entry/forwarder.cc
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -1,5 +1,7 @@
 #include "src/node/entry/forwarder.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <utility>
 
 #include "src/node/internal_api.h"
@@ -13,6 +15,27 @@
 constexpr std::size_t kMaxErrorBytes = 64 * 1024;
 constexpr std::size_t kExchangeIdBytes = 8;
 constexpr std::chrono::hours kSuspectLifetime{1};
+constexpr std::chrono::milliseconds kStopCheckInterval{500};
+
+/// A call whose answer is awaited; used on one thread.
+struct awaited_call {
+  std::shared_ptr<call_canceller> canceller =
+      std::make_shared<call_canceller>();
+  bool waits = true;
+  bool ended = false;  ///< Whether the stop has ended it.
+};
+
+asio::awaitable<void> EndCallAtStop(std::shared_ptr<awaited_call> call,
+                                    std::function<bool()> must_end) {
+  while (call->waits) {
+    co_await SleepFor(kStopCheckInterval);
+    if (call->waits && must_end()) {
+      call->ended = true;
+      call->canceller->Cancel();
+      co_return;
+    }
+  }
+}
 
 http_request SidecarRequest(const forward_request& request,
                             std::chrono::milliseconds budget,
@@ -41,10 +64,12 @@
 
 forwarder::forwarder(process_context& context,
                      backend_registry& backends,
-                     suspect_registry& suspects)
+                     suspect_registry& suspects,
+                     stop_monitor& stop)
     : context_(&context),
       backends_(&backends),
       suspects_(&suspects),
+      stop_(&stop),
       random_(static_cast<std::uint64_t>(context.incarnation())) {}
 
 asio::awaitable<std::optional<error>> forwarder::Forward(
@@ -92,9 +117,10 @@
     const std::lock_guard lock(mutex_);
     budget_.AddRequest();
   }
-  const time_point deadline = context_->time().Now() + request.timeout;
+  const time_point time_limit = context_->time().Now() + request.timeout;
   std::vector<std::string> excluded;
   for (int attempts = 1;; ++attempts) {
+    const time_point deadline = stop_->Limit(time_limit);
     attempt_report report =
         co_await Attempt(exchange, request, excluded, deadline, isolated);
     if (!report.relay.failure) {
@@ -115,8 +141,8 @@
     const bool suspected =
         suspects_->Decide(fingerprint) != suspect_decision::run_normally;
     const bool may_repeat = request.repeatable && !isolated && !suspected;
-    const std::optional<duration> wait =
-        NextAttempt({failure, may_repeat, 0, attempts, deadline});
+    const std::optional<duration> wait = NextAttempt(
+        {failure, may_repeat, 0, attempts, stop_->Limit(time_limit)});
     if (!wait) {
       co_return failure;
     }
@@ -130,6 +156,29 @@
   return policy_.NextAttempt(attempt, budget_, context_->time().Now(), random_);
 }
 
+asio::awaitable<result<std::unique_ptr<http_call>>> forwarder::OpenCall(
+    host_address sidecar,
+    http_request request,
+    call_options options) {
+  auto call = std::make_shared<awaited_call>();
+  options.canceller = call->canceller;
+  const auto executor = co_await asio::this_coro::executor;
+  const auto must_end = [this] {
+    return stop_->Check(context_->time().Now()).has_value();
+  };
+  asio::co_spawn(executor, EndCallAtStop(call, must_end), kEndOnException);
+  auto opened = co_await context_->internal_http().Open(
+      std::move(sidecar), std::move(request), std::move(options));
+  call->waits = false;
+  if (!opened && call->ended) {
+    const outcome ran = opened.error().ran();
+    co_return Fail(error::Make(
+        ran == outcome::not_run ? error_kind::draining : error_kind::timeout,
+        "this host stops"));
+  }
+  co_return opened;
+}
+
 asio::awaitable<forwarder::attempt_report> forwarder::Attempt(
     http_exchange& exchange,
     const forward_request& request,
@@ -167,11 +216,11 @@
   options.head_timeout = budget + std::chrono::milliseconds(500);
   options.idle_timeout = options.head_timeout;
   options.body_timeout = options.head_timeout;
-  auto opened = co_await context_->internal_http().Open(
-      *address, std::move(forwarded), options);
+  auto opened = co_await OpenCall(*address, std::move(forwarded), options);
   if (!opened) {
     report.relay.failure = opened.error();
-    if (opened.error().ran() == outcome::not_run) {
+    if (opened.error().ran() == outcome::not_run &&
+        opened.error().kind() != error_kind::draining) {
       report.relay.failure =
           error::Make(error_kind::no_backend, opened.error().message());
     }
--- a/packages/node/src/node/entry/forwarder.h
+++ b/packages/node/src/node/entry/forwarder.h
@@ -16,6 +16,7 @@
 #include "src/node/entry/answer_capture.h"
 #include "src/node/entry/backend_registry.h"
 #include "src/node/entry/caller.h"
+#include "src/node/entry/stop_monitor.h"
 #include "src/node/entry/suspect_registry.h"
 
 namespace cardamomyard {
@@ -50,7 +51,8 @@
  public:
   forwarder(process_context& context,
             backend_registry& backends,
-            suspect_registry& suspects);
+            suspect_registry& suspects,
+            stop_monitor& stop);
 
   /// Runs the request and relays its answer.
   /// \returns the failure when no answer was sent to the caller, or nothing.
@@ -74,11 +76,16 @@
       const forward_request& request,
       request_fingerprint fingerprint,
       bool isolated);
+  /// Sends the request to a sidecar and waits for the head of the answer, but
+  /// not longer than a planned stop allows.
+  boost::asio::awaitable<result<std::unique_ptr<http_call>>>
+  OpenCall(host_address sidecar, http_request request, call_options options);
   std::optional<duration> NextAttempt(const failed_attempt& attempt);
 
   process_context* context_;
   backend_registry* backends_;
   suspect_registry* suspects_;
+  stop_monitor* stop_;
   std::mutex mutex_;
   retry_policy policy_;
   retry_budget budget_;
