--- a/standins/raw/raw_server.cc
+++ b/standins/raw/raw_server.cc
@@ -78,6 +78,10 @@
   socket_.close(ignored);
 }
 
+void raw_peer::ShutSending() {
+  ::shutdown(socket_.native_handle(), SHUT_WR);
+}
+
 void raw_peer::Shut() {
   ::shutdown(socket_.native_handle(), SHUT_RDWR);
 }
--- a/standins/raw/raw_server.h
+++ b/standins/raw/raw_server.h
@@ -38,6 +38,8 @@
   void WaitForClose();
   /// Closes the connection so that the client sees a reset.
   void Reset();
+  /// Ends what the client receives; its bytes can still be read.
+  void ShutSending();
   /// Ends waiting calls. Safe from any thread.
   void Shut();
 
