Sidecar: fail a success that has neither length nor body

What callers saw: a service that stopped at the end of its answer's head left a 200 with an empty body, framed as whole.

Cause: an answer with neither a length nor chunks ends with its connection, so an empty one can't be told from one that lost its body. The relay gave it a Content-Length of 0. Batch items that aren't streamed were completed with an empty answer by the same path.

A cut inside the head, a length or a chunk was never taken for whole.

Fix: such a success with an empty body is a failure that may have run; 204 stays as it is, and one with a body still ends with its connection. The path of batch items has no test of its own.

--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -55,6 +55,8 @@
 // Answers such as 100 (Continue) precede the final one.
 constexpr int kMaxInterimAnswers = 16;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContentStatus = 204;
+constexpr int kFirstRedirectStatus = 300;
 constexpr int kFirstErrorStatus = 400;
 // A connection with more failed requests is not kept.
 constexpr std::size_t kMaxFailedNames = 16;
@@ -557,6 +559,13 @@
 
 }  // namespace
 
+bool MayLackBody(const http_call& call, std::string_view body) {
+  const bool has_body = call.status() >= kFirstFinalStatus &&
+                        call.status() < kFirstRedirectStatus &&
+                        call.status() != kNoContentStatus;
+  return has_body && call.ends_with_connection() && body.empty();
+}
+
 result<std::unique_ptr<http_client>> http_client::Create(
     std::optional<tls_files> tls) {
   std::shared_ptr<asio::ssl::context> context;
--- a/packages/net/src/net/http_client.h
+++ b/packages/net/src/net/http_client.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "cardamomyard/base.h"
@@ -104,6 +105,10 @@
   virtual void Cancel() = 0;
 };
 
+/// \returns whether \p call is a success that may have lost its whole body: it
+/// has neither a length nor chunks, and \p body, all that came, is empty.
+bool MayLackBody(const http_call& call, std::string_view body);
+
 /// \brief HTTP/1.1 client. Safe to use from several threads; a kept
 /// connection is used again only on the io_context that opened it.
 ///
--- a/packages/node/src/node/answer_relay.cc
+++ b/packages/node/src/node/answer_relay.cc
@@ -83,6 +83,12 @@
     report.failure = body.error();
     co_return report;
   }
+  if (MayLackBody(from, *body)) {
+    report.failure = error::Make(error_kind::backend_failed,
+                                 "an answer without length has no body")
+                         .WithOutcome(outcome::may_have_run);
+    co_return report;
+  }
   if (options.observe) {
     options.observe(*body);
   }
--- a/packages/node/src/node/sidecar/item_runner.cc
+++ b/packages/node/src/node/sidecar/item_runner.cc
@@ -137,7 +137,12 @@
     run_result.tokens = run->progress.Usage();
   } else {
     result<std::string> body = co_await call.ReadAll(kMaxAnswerBytes);
-    if (body) {
+    if (body && MayLackBody(call, *body)) {
+      run_result.report.failure =
+          error::Make(error_kind::backend_failed,
+                      "an answer without length has no body")
+              .WithOutcome(outcome::may_have_run);
+    } else if (body) {
       run_result.body = std::move(*body);
       run_result.tokens = ReadUsage(run_result.body);
     } else {
