Gateway: fail a success without its server's signature

What callers saw: when the head of an answer ended early, at a blank line, callers got a 200 or 204 without Response-Signature, mostly with an empty body and framed as whole. A batch item was completed with an empty text.

Cause: the status alone made an answer a success, and an answer with neither a length nor chunks was buffered whatever it lacked.

A head cut inside a line was never taken for an answer.

Fix: a success without signature, or an unstreamed one with neither length nor body, is a broken attempt. It moves to another server where the route allows that and is answered with 502 otherwise; items go on elsewhere.

--- a/packages/gateway/src/gateway/active_item.cc
+++ b/packages/gateway/src/gateway/active_item.cc
@@ -91,8 +91,9 @@
     (*call)->Cancel();
     mark_interrupted(error::Make(error_kind::backend_failed, reason));
   };
-  if (!head.may_be_stream) {
-    break_off("the answer is no stream of events");
+  if (!head.is_signed || !head.may_be_stream) {
+    break_off(head.is_signed ? "the answer is no stream of events"
+                             : "a success has no signature");
     co_return run_result;
   }
   event_reader reader;
--- a/packages/gateway/src/gateway/protocol.h
+++ b/packages/gateway/src/gateway/protocol.h
@@ -67,6 +67,9 @@
   bool misdirected = false;
   /// False when its body is declared as something else than a stream of events.
   bool may_be_stream = true;
+  /// False when it is a success without its server's signature. The head of a
+  /// sound server always has one.
+  bool is_signed = true;
 };
 
 /// \brief Translates between the platform's messages and the system's types.
--- a/packages/gateway/src/gateway/request_relay.cc
+++ b/packages/gateway/src/gateway/request_relay.cc
@@ -91,6 +91,11 @@
                {"status", head.status}});
     co_return next_step::retry;
   }
+  if (!head.is_signed) {
+    co_return co_await HandleBrokenAttempt(
+        request, attempt,
+        error::Make(error_kind::backend_failed, "a success has no signature"));
+  }
   if (request.route->kind == route_kind::streaming && head.status == 200 &&
       head.may_be_stream) {
     co_return co_await RelayStream(request, attempt);
@@ -144,6 +149,12 @@
   if (!body) {
     co_return co_await HandleBrokenAttempt(request, attempt, body.error());
   }
+  if (MayLackBody(call, *body)) {
+    co_return co_await HandleBrokenAttempt(
+        request, attempt,
+        error::Make(error_kind::backend_failed,
+                    "an answer without length has no body"));
+  }
   host_->pool().RecordSuccess(attempt.backend().id);
   RecordCompletion(request, attempt);
   http_response response;
