--- a/packages/net/test/cut_answer_test.cc
+++ b/packages/net/test/cut_answer_test.cc
@@ -114,11 +114,11 @@
   }
 }
 
-const std::string kWithLength = Head("Content-Length: 8\r\n");
-const std::string kChunked = Head("Transfer-Encoding: chunked\r\n");
-const std::string kChunks = "3\r\none\r\n5\r\n\n\ntwo\r\n0\r\n\r\n";
-const std::string kPlain = Head("Connection: close\r\n");
-const std::string kInterim =
+const std::string with_length = Head("Content-Length: 8\r\n");
+const std::string chunked = Head("Transfer-Encoding: chunked\r\n");
+const std::string chunks = "3\r\none\r\n5\r\n\n\ntwo\r\n0\r\n\r\n";
+const std::string plain = Head("Connection: close\r\n");
+const std::string interim_answers =
     "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
     "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -126,15 +126,15 @@
     Answers,
     cut_answer_test,
     ::testing::Values(
-        cut_answer{"Length", "", kWithLength, kBody},
-        cut_answer{"Chunks", "", kChunked, kChunks},
-        cut_answer{"Plain", "", kPlain, kBody, true},
-        cut_answer{"LengthAfterInterim", kInterim, kWithLength, kBody},
-        cut_answer{"ChunksAfterInterim", kInterim, kChunked, kChunks},
-        cut_answer{"PlainAfterInterim", kInterim, kPlain, kBody, true},
-        cut_answer{"LengthOnKept", "", kWithLength, kBody, false, true},
-        cut_answer{"ChunksOnKept", "", kChunked, kChunks, false, true},
-        cut_answer{"PlainOnKept", "", kPlain, kBody, true, true}),
+        cut_answer{"Length", "", with_length, kBody},
+        cut_answer{"Chunks", "", chunked, chunks},
+        cut_answer{"Plain", "", plain, kBody, true},
+        cut_answer{"LengthAfterInterim", interim_answers, with_length, kBody},
+        cut_answer{"ChunksAfterInterim", interim_answers, chunked, chunks},
+        cut_answer{"PlainAfterInterim", interim_answers, plain, kBody, true},
+        cut_answer{"LengthOnKept", "", with_length, kBody, false, true},
+        cut_answer{"ChunksOnKept", "", chunked, chunks, false, true},
+        cut_answer{"PlainOnKept", "", plain, kBody, true, true}),
     [](const auto& sent) { return sent.param.name; });
 
 }  // namespace
