Keep the limit of a head that is arriving, and report pipelined requests

A wait now keeps the longer of the limit at its begin and the present one. - A cancelled call on a kept connection was sent once more on a new one, by reading: the batch item of a stopped run reached its server again.

--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -382,8 +382,10 @@
       if (connection_ptr kept = pool->Take(where, options.request_name)) {
         auto answer = co_await Exchange(std::move(kept), server, request,
                                         options, head_deadline, pool, where);
+        const bool is_cancelled =
+            options.canceller != nullptr && options.canceller->cancelled();
         // The server may have closed the kept connection in the meantime.
-        if (answer || !options.resend_on_stale ||
+        if (answer || !options.resend_on_stale || is_cancelled ||
             answer.error().kind() == error_kind::timeout) {
           co_return answer;
         }
--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -90,6 +90,7 @@
   const std::string& remote_ip() const override { return remote_ip_; }
   bool answer_started() const override { return started_; }
   bool finished() const { return finished_; }
+  bool peer_closed() const { return peer_closed_; }
   bool keep_alive() const {
     return finished_ && sent_keep_alive_ && parser_.is_done();
   }
@@ -219,7 +220,7 @@
     auto& socket = lowest().socket();
     socket.async_wait(
         tcp::socket::wait_read,
-        [watch = std::weak_ptr<char>(alive_), &socket,
+        [this, watch = std::weak_ptr<char>(alive_), &socket,
          closed = std::move(closed)](const boost::system::error_code& code) {
           if (code || watch.expired()) {
             return;
@@ -230,6 +231,7 @@
           const bool open =
               got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
           if (!open) {
+            peer_closed_ = true;
             closed();
           }
         });
@@ -275,6 +277,7 @@
   bool started_ = false;
   bool finished_ = false;
   bool continue_sent_ = false;
+  bool peer_closed_ = false;
   // Expires with the exchange, so that a late event does not reach it.
   std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
@@ -348,29 +351,31 @@
       : state_(&state),
         first_(first),
         began_(std::chrono::steady_clock::now()),
+        read_timeout_(state.read_timeout),
         idle_timeout_(state.idle_timeout) {}
 
   /// To be called when the first bytes of the head are there.
   void Begin() {
-    if (!arriving_) {
-      arriving_ = true;
+    if (!std::exchange(arriving_, true) && !first_) {
       began_ = std::chrono::steady_clock::now();
+      read_timeout_ = state_->read_timeout;
     }
   }
   bool arriving() const { return arriving_; }
 
   time_point Get() const {
-    std::chrono::milliseconds timeout = state_->read_timeout;
-    if (!first_ && !arriving_) {
-      // Callers that know of a longer limit rely on it at once.
-      timeout = std::max(idle_timeout_, state_->idle_timeout.load());
-    }
+    // Callers that know of a longer limit rely on it at once, and those that
+    // do not know of a shorter one still rely on the longer one.
+    const std::chrono::milliseconds timeout =
+        first_ || arriving_
+            ? std::max(read_timeout_, state_->read_timeout.load())
+            : std::max(idle_timeout_, state_->idle_timeout.load());
     const time_point limit = began_ + timeout;
     if (!state_->draining) {
       return limit;
     }
     return std::min<time_point>(
-        limit, std::max<time_point>(began_, state_->draining_since) +
+        limit, std::max<time_point>(opened_, state_->draining_since) +
                    kDrainingHeadTimeout);
   }
 
@@ -379,6 +384,8 @@
   bool first_;
   bool arriving_ = false;
   time_point began_;
+  time_point opened_ = began_;
+  std::chrono::milliseconds read_timeout_;
   std::chrono::milliseconds idle_timeout_;
 };
 
@@ -480,7 +487,7 @@
         "");
     co_await current.Send(std::move(failure));
   }
-  if (!current.finished()) {
+  if (!current.finished() && !current.peer_closed()) {
     ReportUnanswered(state, unanswered_bytes::stage::handling, 1,
                      current.request(), "the handler sent no whole answer");
   }
@@ -500,6 +507,13 @@
   while (co_await ServeOne(stream, buffer, *state, remote_ip, first)) {
     first = false;
   }
+  const std::string_view rest(static_cast<const char*>(buffer.data().data()),
+                              buffer.size());
+  if (const auto pipelined = FindHead(rest)) {
+    ReportUnanswered(*state, unanswered_bytes::stage::after_own_close,
+                     rest.size(), pipelined,
+                     "it was sent behind the last request");
+  }
 }
 
 asio::awaitable<void> CloseGracefully(const server_state& state,
--- a/packages/net/test/connection_end_test.cc
+++ b/packages/net/test/connection_end_test.cc
@@ -97,6 +97,19 @@
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
 }
 
+TEST_F(connection_end, ShorterHeaderTimeoutSparesAHeadThatIsArriving) {
+  const auto server = Serve();
+  tcp::socket socket = Connect(*server);
+  Ask(socket);
+  asio::write(socket, asio::buffer(kRequest.substr(0, 10)));
+  tcp::socket other = Connect(*server);
+  Ask(other);  // The server's only thread has read the half head by now.
+  server->SetLimits(16 * 1024, milliseconds(1), kLongIdle);
+  WaitForIdleTimeout();
+  const std::string answer = Ask(socket, kRequest.substr(10));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+}
+
 TEST_F(connection_end, LongerIdleTimeoutHoldsForConnectionsThatAreIdle) {
   const auto server = Serve();
   tcp::socket socket = Connect(*server);
@@ -165,6 +178,15 @@
   EXPECT_EQ(after_close.where, unanswered_bytes::stage::after_own_close);
   ASSERT_TRUE(after_close.head);
   EXPECT_EQ(after_close.head->target, "/a");
+
+  server->StopKeepAlive();
+  tcp::socket pipelining = Connect(*server);
+  asio::write(pipelining, asio::buffer(std::string(kRequest) +
+                                       "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"));
+  const unanswered_bytes behind_the_last = next();
+  EXPECT_EQ(behind_the_last.where, unanswered_bytes::stage::after_own_close);
+  ASSERT_TRUE(behind_the_last.head);
+  EXPECT_EQ(behind_the_last.head->target, "/b");
 }
 
 }  // namespace
