Let a silent server go on while its successor is awaited

What callers would see: a request ended with 504 although its server was back after 300 ms, as a hung successor had replaced it; or it stayed at a hung server to the deadline, because the only other one had refused it once.

Cause: while a successor was awaited, nobody looked at the silent attempt, and servers that had refused were never asked again while it was silent.

Change: news of the silent attempt wake the wait and cancel the successor. A caller that leaves meanwhile marks no server as failed.

server_silence.Rule01_StreamIsNotCutWhileNoOtherServerIsFree failed once: the other server became free before the silence ended, and the stream moved there, as it should.

--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -26,6 +26,8 @@
 // A server that was sent a request and has not refused it within this time is
 // taken for running it, and the silent server before it must stop.
 constexpr std::chrono::milliseconds kTakeOverTime{300};
+// For a connection attempt to end after its timeout.
+constexpr std::chrono::milliseconds kConnectMargin{50};
 // A request waits for a slot for the latency objective divided by this number.
 // A later refusal would leave the caller less time to retry.
 constexpr int kSlotWaitDivisor = 6;
@@ -185,7 +187,7 @@
       co_return std::move(*place);
     }
     if (std::holds_alternative<no_usable_backend>(chosen) &&
-        request.head_sent && !request.caller_left) {
+        MustGoOn(request) && !request.tried.empty() && !request.caller_left) {
       // Servers that refused or failed may take the rest of the response now.
       request.tried.clear();
       co_await SleepFor(kMoveRetryInterval);
@@ -373,14 +375,20 @@
     silent->silence_reported = true;
     host_->pool().RecordFailure(silent->backend().id, host_->time().Now());
   }
-  while (CanMove(request) && request.tried.size() < kMaxTriedServers &&
-         !request.caller_left) {
+  if (request.tried.size() >= kMaxTriedServers) {
+    request.tried = {silent->backend().id};
+  }
+  while (CanMove(request) && request.tried.size() < kMaxTriedServers) {
     placement chosen = placement_.Choose(
         host_->pool(), request.service, request.tried,
         Scale(request.route->latency_objective, kMaxQueueWaitShare),
         host_->time().Now());
     auto* place = std::get_if<chosen_backend>(&chosen);
     if (place == nullptr) {
+      if (std::holds_alternative<no_usable_backend>(chosen)) {
+        // Servers that refused it may take it the next time.
+        request.tried = {silent->backend().id};
+      }
       break;
     }
     if (!MayReachServers(request)) {
@@ -388,9 +396,12 @@
       co_return false;
     }
     request.successor = co_await StartAttempt(request, std::move(*place));
-    co_await AwaitSuccessor(request);
+    const bool has_ended = co_await AwaitSuccessor(request);
     const std::shared_ptr<server_attempt> successor =
         std::exchange(request.successor, nullptr);
+    if (!has_ended || request.caller_left) {
+      co_return false;
+    }
     if (successor->unreachable()) {
       RecordUnreachable(request, *successor);
       continue;
@@ -398,6 +409,12 @@
     if (IsRefusal(*successor)) {
       co_await RecordRefusal(request, *successor);
       successor->Cancel();
+      if (!MustGoOn(request)) {
+        --request.attempts;  // No server ran it there.
+      }
+      if (request.caller_left) {
+        co_return false;
+      }
       continue;
     }
     log_.Info("A request leaves a silent server.",
@@ -415,18 +432,33 @@
   co_return false;
 }
 
-asio::awaitable<void> request_handler::AwaitSuccessor(request_state& request) {
+asio::awaitable<bool> request_handler::AwaitSuccessor(request_state& request) {
+  const std::shared_ptr<server_attempt> silent = request.attempt;
   const std::shared_ptr<server_attempt> successor = request.successor;
+  const bool had_head = silent->has_response();
+  silent->WakeWithNews(successor);
   while (true) {
-    const time_point limit = successor->written()
-                                 ? *successor->written() + kTakeOverTime
-                                 : successor->started() + kConnectTimeout;
+    const bool has_gone_on =
+        had_head ? silent->has_piece() : silent->has_response();
+    if (has_gone_on && !silent->failed()) {
+      if (successor->written()) {
+        request.may_have_run = true;
+      } else {
+        --request.attempts;
+      }
+      successor->Cancel();
+      co_return false;
+    }
+    const time_point limit =
+        successor->written()
+            ? *successor->written() + kTakeOverTime
+            : successor->started() + kConnectTimeout + kConnectMargin;
     if (co_await successor->WaitForHead(limit)) {
-      co_return;
+      co_return true;
     }
     if (successor->written() &&
         host_->time().Now() >= *successor->written() + kTakeOverTime) {
-      co_return;
+      co_return true;
     }
   }
 }
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -61,8 +61,9 @@
   /// Ends a request whose server has not answered until its deadline.
   boost::asio::awaitable<next_step> EndUnanswered(request_state& request,
                                                   server_attempt& attempt);
-  /// Waits until the successor has answered or is taken for running.
-  boost::asio::awaitable<void> AwaitSuccessor(request_state& request);
+  /// Waits until the successor has answered or is taken for running. \returns
+  /// false if it was cancelled because the silent server has gone on.
+  boost::asio::awaitable<bool> AwaitSuccessor(request_state& request);
   boost::asio::awaitable<next_step> HandleResponse(request_state& request,
                                                    server_attempt& attempt);
   boost::asio::awaitable<next_step> RelayBuffered(request_state& request,
--- a/packages/gateway/src/gateway/request_relay.cc
+++ b/packages/gateway/src/gateway/request_relay.cc
@@ -47,6 +47,9 @@
   call.LimitReads(std::min<duration>(request.deadline - host_->time().Now(),
                                      kRefusalBodyTimeout));
   const auto rest = co_await call.ReadAll(kMaxBufferedResponseBytes);
+  if (request.caller_left) {
+    co_return;
+  }
   if (head.misdirected || !rest) {
     host_->pool().RecordFailure(attempt.backend().id, host_->time().Now());
   } else {
--- a/packages/gateway/src/gateway/server_attempt.cc
+++ b/packages/gateway/src/gateway/server_attempt.cc
@@ -39,7 +39,8 @@
       place_(std::move(place)),
       origin_of_(std::move(origin_of)),
       may_send_([this] {
-        if (!cancelled_ && !written_) {
+        // Again when the request is resent on a new connection.
+        if (!cancelled_) {
           written_ = host_->time().Now();
         }
         return !cancelled_;
@@ -61,13 +62,20 @@
   if (cancelled_ && *response_) {
     (**response_)->Cancel();
   }
-  changed_.cancel();
+  NotifyChanged();
 }
 
 asio::awaitable<void> server_attempt::Read() {
   piece_ = co_await (**response_)->ReadSome();
   reading_ = false;
-  changed_.cancel();
+  NotifyChanged();
+}
+
+void server_attempt::NotifyChanged() {
+  Wake();
+  if (const auto listener = listener_.lock()) {
+    listener->Wake();
+  }
 }
 
 asio::awaitable<void> server_attempt::WaitForChange(time_point limit) {
--- a/packages/gateway/src/gateway/server_attempt.h
+++ b/packages/gateway/src/gateway/server_attempt.h
@@ -51,6 +51,9 @@
     return response_ && !*response_ &&
            (!written_ || response_->error().ran() == outcome::not_run);
   }
+  bool failed() const {
+    return (response_ && !*response_) || (piece_ && !*piece_);
+  }
   /// \returns the response once WaitForHead() has returned true.
   const result<std::unique_ptr<http_call>>& response() const {
     return *response_;
@@ -61,6 +64,12 @@
       time_point limit);
   /// Lets a waiting call return at once, as at its limit.
   void Wake() { changed_.cancel(); }
+  /// Wakes \p other too when a head, a piece or a failure arrives.
+  void WakeWithNews(std::weak_ptr<server_attempt> other) {
+    listener_ = std::move(other);
+  }
+  /// \returns whether a piece or a failure was read that no call has returned.
+  bool has_piece() const { return piece_.has_value(); }
   /// Closes the connection, which cancels the request at the server.
   void Cancel();
 
@@ -78,6 +87,7 @@
   boost::asio::awaitable<void> Open(http_request message, call_options options);
   boost::asio::awaitable<void> Read();
   boost::asio::awaitable<void> WaitForChange(time_point limit);
+  void NotifyChanged();
   void EndLoad();
 
   host_runtime* host_;
@@ -86,6 +96,7 @@
   std::function<bool()> may_send_;
   std::shared_ptr<call_canceller> canceller_;
   boost::asio::steady_timer changed_;
+  std::weak_ptr<server_attempt> listener_;
   time_point started_;
   std::optional<time_point> written_;
   std::optional<result<std::unique_ptr<http_call>>> response_;
--- a/test/server_silence_test.cc
+++ b/test/server_silence_test.cc
@@ -65,6 +65,8 @@
   const host gateway = StartGateway("g1");
   auto first = Begin(gateway, "r1");
   const auto [silent, other] = RunningAndOther();
+  // Busy for longer than the silence.
+  other->SetEvents(5 * kLongStream);
   auto second = Begin(gateway, "r2");
   ASSERT_TRUE(Eventually([&, busy = other] { return busy->running() == 1; }));
   silent->FallSilent(kSilence);
@@ -118,6 +120,24 @@
   ExpectWhole(first.get());
 }
 
+TEST_F(server_silence, Rule01_StreamGoesOnAtTheServerThatWakesFirst) {
+  const host gateway = StartGateway("g1");
+  auto first = Begin(gateway, "r1");
+  const auto [silent, other] = RunningAndOther();
+  other->FallSilent(std::chrono::seconds(60));
+  silent->FallSilent(milliseconds(300));
+  ExpectWhole(first.get());
+}
+
+TEST_F(server_silence, Rule01_HungServerIsLeftThoughTheOtherRefusedOnce) {
+  const host gateway = StartGateway("g1");
+  auto first = Begin(gateway, "r1");
+  const auto [silent, other] = RunningAndOther();
+  other->RefuseNext(1);
+  silent->FallSilent(std::chrono::seconds(60));
+  ExpectWhole(first.get());
+}
+
 TEST_F(server_silence, StreamMovesToAFreeServerBeforeTheSilenceEnds) {
   const host gateway = StartGateway("g1");
   auto first = Begin(gateway, "r1");
--- a/test/silent_successor_test.cc
+++ b/test/silent_successor_test.cc
@@ -72,5 +72,24 @@
   ExpectWhole(stream.get());
 }
 
+TEST_F(silent_successor, StreamIsNotCutWhenTheSuccessorBreaksOff) {
+  const host gateway = StartGateway("g1");
+  bool silent = false;
+  const stream_answer answer =
+      client().Stream(gateway.front, Request("POST", "/ask/1", "r1", "hello"),
+                      [&](std::string_view) {
+                        if (!std::exchange(silent, true)) {
+                          for (platform_engine* engine : engines()) {
+                            engine->DropNext(kAlways);
+                            if (engine->running() > 0) {
+                              engine->FallSilent(kSilence);
+                            }
+                          }
+                        }
+                        return true;
+                      });
+  EXPECT_TRUE(answer.whole) << answer.failure << "\n" << Log("g1");
+}
+
 }  // namespace
 }  // namespace cardamomyard
