--- a/packages/net/test/cut_answer_test.cc
+++ b/packages/net/test/cut_answer_test.cc
@@ -32,7 +32,7 @@
 };
 
 std::string Head(const std::string& framing) {
-  return "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n" + framing +
+  return "HTTP/1.1 200 OK\r\nSignature: s\r\n" + framing +
          "Content-Type: text/plain\r\n\r\n";
 }
 
@@ -95,7 +95,7 @@
       if (cut == whole.size() && !is_reset) {
         ASSERT_TRUE(answer) << where << answer.error().message();
         EXPECT_EQ(answer->body, kBody);
-        EXPECT_EQ(answer->headers.Get("Response-Signature"), "s");
+        EXPECT_EQ(answer->headers.Get("Signature"), "s");
       } else if (sent.ends_with_connection && cut >= head.size() && !is_reset) {
         // Nothing tells this from a whole answer.
         ASSERT_TRUE(answer) << where << answer.error().message();
--- a/test/change_series_test.cc
+++ b/test/change_series_test.cc
@@ -1,5 +1,5 @@
-// Guards that no request is lost beside overlapping changes of the
-// configuration, silent servers and planned stops.
+// Overlapping changes of the configuration, silent servers and planned stops:
+// each request on a kept connection is answered or refused.
 #include <gtest/gtest.h>
 
 #include <algorithm>
--- a/test/configuration_values_test.cc
+++ b/test/configuration_values_test.cc
@@ -1,4 +1,4 @@
-// Guards that no value of a configuration makes a gateway lose requests.
+// Odd values of limits and times in a configuration.
 #include <gtest/gtest.h>
 
 #include <chrono>
