Test: begin the late job only once the stream's head has arrived

Cause: a race in the test. It waited for the line "A request goes to a server.", not for the stream's head. In the log of that run the request was dispatched at 44.858 s, its head came 10 ms later (first_ms), and the gateway stopped at 44.868 s. A head that is sent during a stop says "Connection: close", rightly, and the gateway doesn't read what is sent behind it.

Change: the test waits for the first bytes of the stream, and checks that its answer doesn't announce a close; all former checks stand.

--- a/test/gateway_stop_test.cc
+++ b/test/gateway_stop_test.cc
@@ -130,8 +130,8 @@
   const host other = StartGateway("g2");
   const split_request stream = Split("POST", "/draft/1", "r1");
   const auto kept = Open(gateway, stream.begin + stream.rest);
-  EXPECT_TRUE(Eventually(
-      [&] { return Logged("g1", "A request goes to a server.", "r1"); }));
+  // An answer that begins during the stop would not keep the connection.
+  ASSERT_TRUE(kept->WaitForBytes());
   StopUntilDraining(gateway);
   const std::string body = R"({"items":[{"id":"i-0","path":"/lots/1/x",)"
                            R"("headers":{"Model":"m"},"body":"ZG8gaXQ=",)"
@@ -141,6 +141,7 @@
                          "\r\n\r\n" + body));
   const http_response both = kept->ReadAnswer();
   EXPECT_EQ(both.status, 200);
+  EXPECT_NE(both.headers.Get("Connection").value_or(""), "close");
   EXPECT_NE(both.body.find("HTTP/1.1 503"), std::string::npos) << Log("g1");
   EXPECT_EQ(gateway.process->WaitForExit(milliseconds(10'000)), 0);
   EXPECT_TRUE(
--- a/test/harness/test_client.cc
+++ b/test/harness/test_client.cc
@@ -171,6 +171,10 @@
   return answer;
 }
 
+bool raw_connection::WaitForBytes(std::chrono::milliseconds limit) {
+  return !buffer_.empty() || Fill(std::chrono::steady_clock::now() + limit);
+}
+
 bool raw_connection::WaitForClose(std::chrono::milliseconds limit) {
   const auto end = std::chrono::steady_clock::now() + limit;
   while (Fill(end)) {
--- a/test/harness/test_client.h
+++ b/test/harness/test_client.h
@@ -66,6 +66,8 @@
   /// \returns the answer; status 0 when none came within \p limit.
   http_response ReadAnswer(
       std::chrono::milliseconds limit = std::chrono::seconds(10));
+  /// \returns whether a byte that was not read yet is there within \p limit.
+  bool WaitForBytes(std::chrono::milliseconds limit = std::chrono::seconds(10));
   /// \returns whether the server closed the connection within \p limit.
   bool WaitForClose(std::chrono::milliseconds limit);
 
