Let a host that takes over the close watch end its own stale one

Cause: two hosts keep short linearizable watches for all. When both are lost, the next two notice it after 0.9 s, but object_follower read its new wait and freshness only when the running watch ended: a stale one of 8 s. Nobody heard the store closely meanwhile.

Change: SetWatch() replaces SetWait() and SetFreshness(); a running watch that is laxer than the new one is cancelled and begun again at once, which is no failure of the store. Watch() takes a canceller. Each takeover costs one call to the store.

Not covered: above 67 hosts a lost host counts as live for up to 4 s, so takeover alone exceeds 2 s there; a server that announces in its answers is left at once all the same.

--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -236,7 +236,7 @@
   host_follower_ = std::make_unique<object_follower>(*store_, clock_, kHostKind,
                                                      std::move(events));
   host_follower_->SetPause(kHostWatchPause);
-  host_follower_->SetFreshness(read_freshness::may_be_stale);
+  host_follower_->SetWatch(kLongWatchWait, read_freshness::may_be_stale);
   asio::co_spawn(control(), host_follower_->Run(), kEndOnException);
 }
 
--- a/packages/gateway/src/gateway/inventory.cc
+++ b/packages/gateway/src/gateway/inventory.cc
@@ -132,10 +132,15 @@
 
 void inventory::SetWatch(std::chrono::milliseconds wait,
                          read_freshness freshness) {
-  configuration_follower_->SetWait(wait);
-  configuration_follower_->SetFreshness(freshness);
-  backend_follower_->SetWait(wait);
-  backend_follower_->SetFreshness(freshness);
+  const std::pair next(wait, freshness);
+  if (watch_ == next) {
+    return;
+  }
+  watch_ = next;
+  boost::asio::post(control_, [this, wait, freshness] {
+    configuration_follower_->SetWatch(wait, freshness);
+    backend_follower_->SetWatch(wait, freshness);
+  });
 }
 
 void inventory::RecordContact(bool in_contact) {
--- a/packages/gateway/src/gateway/inventory.h
+++ b/packages/gateway/src/gateway/inventory.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "cardamomyard/base.h"
 #include "cardamomyard/fleet.h"
@@ -63,7 +64,7 @@
   /// is current.
   std::uint64_t backend_revision() const { return backend_revision_; }
   /// Sets how long the store may hold a watch open without a change, and
-  /// whether it may report changes late.
+  /// whether it may report changes late. Holds for the running watches too.
   void SetWatch(std::chrono::milliseconds wait, read_freshness freshness);
 
   /// \returns the configuration and the backend servers, for a peer that cannot
@@ -110,6 +111,7 @@
   bool in_contact_ = false;
   std::optional<time_point> last_contact_;
 
+  std::optional<std::pair<std::chrono::milliseconds, read_freshness>> watch_;
   std::unique_ptr<object_follower> configuration_follower_;
   std::unique_ptr<object_follower> backend_follower_;
 };
--- a/packages/gateway/src/gateway/relayed_store.cc
+++ b/packages/gateway/src/gateway/relayed_store.cc
@@ -216,9 +216,8 @@
 asio::awaitable<result<store_changes>> relayed_store::Watch(
     std::string kind,
     std::uint64_t revision,
-    std::chrono::milliseconds wait,
-    read_freshness freshness) {
-  return direct_->Watch(std::move(kind), revision, wait, freshness);
+    watch_options options) {
+  return direct_->Watch(std::move(kind), revision, std::move(options));
 }
 
 asio::awaitable<result<store_record>> relayed_store::Create(std::string kind,
--- a/packages/gateway/src/gateway/relayed_store.h
+++ b/packages/gateway/src/gateway/relayed_store.h
@@ -49,8 +49,7 @@
   boost::asio::awaitable<result<store_changes>> Watch(
       std::string kind,
       std::uint64_t revision,
-      std::chrono::milliseconds wait,
-      read_freshness freshness) override;
+      watch_options options) override;
   boost::asio::awaitable<result<store_record>>
   Create(std::string kind, std::string name, std::string value) override;
   boost::asio::awaitable<result<store_record>> Replace(
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -89,7 +89,9 @@
                StartEvacuation();
              }
            });
-    job_follower_->SetWait(kJobWatchTimeout);
+    asio::post(host_->control(), [this] {
+      job_follower_->SetWatch(kJobWatchTimeout, read_freshness::linearizable);
+    });
     job_follower_->SetPause(kChangesPause);
     asio::co_spawn(host_->traffic(), RunLeaseLoop(), kEndOnException);
     asio::co_spawn(host_->traffic(), RunScheduleLoop(), kEndOnException);
--- a/packages/gateway/test/store_faults_test.cc
+++ b/packages/gateway/test/store_faults_test.cc
@@ -211,7 +211,7 @@
   events.on_change = [](const store_change&, std::uint64_t) {};
   events.on_contact = [](bool) {};
   object_follower follower(store, clock, "config", events);
-  follower.SetWait(milliseconds(5));
+  follower.SetWatch(milliseconds(5), read_freshness::linearizable);
   boost::asio::co_spawn(context, follower.Run(), kEndOnException);
   boost::asio::co_spawn(
       context,
@@ -225,5 +225,44 @@
   EXPECT_EQ(last_value, "2");
 }
 
+// A host that takes over the close watch from lost ones sees changes at once.
+TEST(ObjectFollower, Rule11_TighterWatchReplacesTheRunningOne) {
+  const host_clock clock;
+  memory_store store;
+  store.max_watch_time = milliseconds(60'000);
+  store.hides_from_stale_watches = true;
+  store.Put("servers", "s1", "ready");
+  boost::asio::io_context context;
+  std::string last_value;
+  int failures = 0;
+  follower_events events;
+  events.on_snapshot = [](const store_snapshot&) {};
+  events.on_change = [&](const store_change& change, std::uint64_t) {
+    last_value = change.record.value;
+    context.stop();
+  };
+  events.on_contact = [&](bool in_contact) { failures += in_contact ? 0 : 1; };
+  object_follower follower(store, clock, "servers", events);
+  follower.SetWatch(milliseconds(8000), read_freshness::may_be_stale);
+  boost::asio::co_spawn(context, follower.Run(), kEndOnException);
+  boost::asio::co_spawn(
+      context,
+      [&]() -> boost::asio::awaitable<void> {
+        co_await SleepFor(milliseconds(20));
+        store.Put("servers", "s1", "draining");
+        // The same or a laxer watch leaves the running one.
+        const int calls = store.calls;
+        follower.SetWatch(milliseconds(8000), read_freshness::may_be_stale);
+        follower.SetWatch(milliseconds(9000), read_freshness::may_be_stale);
+        co_await SleepFor(milliseconds(20));
+        EXPECT_EQ(store.calls, calls);
+        follower.SetWatch(milliseconds(900), read_freshness::linearizable);
+      },
+      kEndOnException);
+  context.run_for(std::chrono::seconds(5));
+  EXPECT_EQ(last_value, "draining");
+  EXPECT_EQ(failures, 0);
+}
+
 }  // namespace
 }  // namespace cardamomyard
--- a/packages/store/src/store/object_follower.cc
+++ b/packages/store/src/store/object_follower.cc
@@ -28,6 +28,19 @@
       wait_(kUsualWait),
       pause_(kUsualPause) {}
 
+void object_follower::SetWatch(std::chrono::milliseconds wait,
+                               read_freshness freshness) {
+  wait_ = wait;
+  freshness_ = freshness;
+  const bool is_too_lax =
+      running_watch_ && (running_watch_->wait > wait ||
+                         (running_watch_->freshness != freshness &&
+                          freshness == read_freshness::linearizable));
+  if (is_too_lax) {
+    running_watch_->canceller->Cancel();
+  }
+}
+
 boost::asio::awaitable<void> object_follower::Run() {
   backoff delay(kFirstRetry, kMostRetry,
                 Hash64(kind_, static_cast<std::uint64_t>(
@@ -57,8 +70,14 @@
 }
 
 boost::asio::awaitable<bool> object_follower::WatchOnce() {
+  const auto canceller = std::make_shared<call_canceller>();
+  running_watch_ = {wait_, freshness_, canceller};
   const result<store_changes> seen =
-      co_await store_->Watch(kind_, revision_, wait_.load(), freshness_.load());
+      co_await store_->Watch(kind_, revision_, *running_watch_);
+  running_watch_.reset();
+  if (!seen && canceller->cancelled()) {
+    co_return true;
+  }
   if (!seen) {
     Failed("watch", seen.error());
     co_return false;
--- a/packages/store/src/store/object_follower.h
+++ b/packages/store/src/store/object_follower.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -31,19 +32,16 @@
                   std::string kind,
                   follower_events events);
 
-  /// Sets how long the store may keep a watch waiting. A watch that lost its
-  /// events shows it only at its end, so a shorter wait notices sooner and
-  /// costs more calls. Safe from any thread.
-  void SetWait(std::chrono::milliseconds wait) { wait_ = wait; }
+  /// Sets how long the store may keep a watch waiting and whether it may report
+  /// changes late. A watch that lost its events shows it only at its end, so a
+  /// shorter wait notices sooner; both cost the store more. A running watch
+  /// that is laxer ends at once. To be called on the thread that runs this.
+  void SetWatch(std::chrono::milliseconds wait, read_freshness freshness);
 
   /// Sets how long the follower waits after events before it watches on, so
   /// that changes in quick succession share a call. Safe from any thread.
   void SetPause(std::chrono::milliseconds pause) { pause_ = pause; }
 
-  /// Sets whether watches may report changes late, which costs the store less.
-  /// Safe from any thread.
-  void SetFreshness(read_freshness freshness) { freshness_ = freshness; }
-
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run();
 
@@ -62,9 +60,10 @@
   std::string kind_;
   follower_events events_;
   part_log log_{"store"};
-  std::atomic<std::chrono::milliseconds> wait_;
+  std::chrono::milliseconds wait_;
   std::atomic<std::chrono::milliseconds> pause_;
-  std::atomic<read_freshness> freshness_{read_freshness::linearizable};
+  read_freshness freshness_ = read_freshness::linearizable;
+  std::optional<watch_options> running_watch_;
   bool listed_ = false;
   std::uint64_t revision_ = 0;
   std::optional<time_point> last_answer_;
--- a/packages/store/src/store/object_store.h
+++ b/packages/store/src/store/object_store.h
@@ -4,11 +4,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "cardamomyard/base.h"
+#include "cardamomyard/net.h"
 
 namespace cardamomyard {
 
@@ -41,6 +43,16 @@
 
 enum class read_freshness { linearizable, may_be_stale };
 
+struct watch_options {
+  /// How long the store may hold the watch open without a change.
+  std::chrono::milliseconds wait{0};
+  /// With `may_be_stale` a change may be reported seconds late.
+  read_freshness freshness = read_freshness::linearizable;
+  /// Lets another coroutine of the same thread end the watch early, with
+  /// `store_unavailable`. Null when nobody does.
+  std::shared_ptr<call_canceller> canceller;
+};
+
 /// \brief The platform's store as the system uses it: records by kind and name,
 /// conditional writes and watches. Safe from any thread.
 ///
@@ -57,13 +69,9 @@
   virtual boost::asio::awaitable<result<store_snapshot>> List(
       std::string kind,
       read_freshness freshness) = 0;
-  /// Waits until a record of the kind changes after \p revision, at most
-  /// \p wait. With `may_be_stale` a change may be reported seconds late.
-  virtual boost::asio::awaitable<result<store_changes>> Watch(
-      std::string kind,
-      std::uint64_t revision,
-      std::chrono::milliseconds wait,
-      read_freshness freshness) = 0;
+  /// Waits until a record of the kind changes after \p revision.
+  virtual boost::asio::awaitable<result<store_changes>>
+  Watch(std::string kind, std::uint64_t revision, watch_options options) = 0;
   /// \returns `conflict` when the record exists.
   virtual boost::asio::awaitable<result<store_record>>
   Create(std::string kind, std::string name, std::string value) = 0;
--- a/standins/memory/memory_store.h
+++ b/standins/memory/memory_store.h
@@ -1,7 +1,11 @@
 #ifndef CARDAMOMYARD_STANDINS_MEMORY_MEMORY_STORE_H_
 #define CARDAMOMYARD_STANDINS_MEMORY_MEMORY_STORE_H_
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <functional>
 #include <map>
@@ -32,6 +36,10 @@
       [](std::string_view, const std::string&) { return fault::none; };
   /// Watches return without events although there are some.
   bool silent_watches = false;
+  /// The longest time that a watch without events waits.
+  std::chrono::milliseconds max_watch_time{5};
+  /// Watches that accept stale answers see no events.
+  bool hides_from_stale_watches = false;
   /// Watches from before this revision find the history gone.
   std::uint64_t oldest_revision = 0;
 
@@ -75,11 +83,8 @@
     co_return snapshot;
   }
 
-  boost::asio::awaitable<result<store_changes>> Watch(
-      std::string kind,
-      std::uint64_t after,
-      std::chrono::milliseconds wait,
-      read_freshness) override {
+  boost::asio::awaitable<result<store_changes>>
+  Watch(std::string kind, std::uint64_t after, watch_options options) override {
     if (auto failed = Fault("watch", kind)) {
       co_return Fail(*failed);
     }
@@ -89,7 +94,9 @@
       changes.history_lost = true;
       co_return changes;
     }
-    if (!silent_watches) {
+    const bool is_hidden = hides_from_stale_watches &&
+                           options.freshness == read_freshness::may_be_stale;
+    if (!silent_watches && !is_hidden) {
       for (const auto& [key, record] : records) {
         if (key.first == kind && record.revision > after) {
           changes.changes.push_back({record, false});
@@ -98,7 +105,23 @@
       changes.revision = revision;
     }
     if (changes.changes.empty()) {
-      co_await SleepFor(std::min(wait, std::chrono::milliseconds(5)));
+      bool cancelled = false;
+      boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                      std::min(options.wait, max_watch_time));
+      if (options.canceller) {
+        options.canceller->SetConnection([&] {
+          cancelled = true;
+          timer.cancel();
+        });
+      }
+      co_await timer.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+      if (options.canceller) {
+        options.canceller->SetConnection(nullptr);
+      }
+      if (cancelled) {
+        co_return Fail(error_kind::store_unavailable, "cancelled");
+      }
     }
     co_return changes;
   }
--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -1,5 +1,6 @@
 #include "platform/platform_store.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 #include <utility>
@@ -50,7 +51,8 @@
   held.revision = ++revision_;
   history_.push_back(
       {revision_, kind,
-       json::object{{"deleted", removed}, {"object", ToJson(name, held)}}});
+       json::object{{"deleted", removed}, {"object", ToJson(name, held)}},
+       std::chrono::steady_clock::now()});
   if (removed) {
     kinds_[kind].erase(name);
   }
@@ -184,7 +186,8 @@
 asio::awaitable<http_response> platform_store::Watch(
     const std::string& kind,
     std::uint64_t after,
-    std::chrono::milliseconds wait) {
+    std::chrono::milliseconds wait,
+    bool stale) {
   const auto end = std::chrono::steady_clock::now() + wait;
   while (true) {
     {
@@ -192,16 +195,23 @@
       if (after < oldest_) {
         co_return Plain(410);
       }
+      const auto now = std::chrono::steady_clock::now();
+      const auto newest = stale ? now - staleness_.load() : now;
       json::array events;
+      std::uint64_t at = revision_;
       for (const event& past : history_) {
+        if (past.at > newest) {
+          at = std::max(after, past.revision - 1);
+          break;
+        }
         if (past.revision > after && past.kind == kind && !silent_watches_) {
           events.push_back(past.entry);
         }
       }
-      if (!events.empty() || std::chrono::steady_clock::now() >= end) {
+      if (!events.empty() || now >= end) {
         co_return JsonResponse(
-            200, Serialize(json::object{{"events", std::move(events)},
-                                        {"at", revision_}}));
+            200,
+            Serialize(json::object{{"events", std::move(events)}, {"at", at}}));
       }
     }
     co_await SleepFor(kWatchPoll);
@@ -239,7 +249,8 @@
     if (const auto after = QueryNumber(query, "watch")) {
       answer = co_await Watch(
           kind, *after,
-          std::chrono::milliseconds(QueryNumber(query, "wait-ms").value_or(0)));
+          std::chrono::milliseconds(QueryNumber(query, "wait-ms").value_or(0)),
+          QueryNumber(query, "stale-ok").has_value());
     } else {
       answer = Read(kind, name);
     }
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -35,6 +35,10 @@
   void Compact();
   /// While set, watches end without the events that happened.
   void SetSilentWatches(bool silent) { silent_watches_ = silent; }
+  /// Watches that accept stale answers report changes this late.
+  void SetStaleness(std::chrono::milliseconds staleness) {
+    staleness_ = staleness;
+  }
   /// Refuses reads of single objects of \p kind from now on; none if empty.
   void RefuseReads(const std::string& kind);
   /// Writes as the operator or a server does.
@@ -64,6 +68,7 @@
     std::uint64_t revision = 0;
     std::string kind;
     boost::json::object entry;
+    std::chrono::steady_clock::time_point at;
   };
 
   /// \returns the text of an answer, with the raw specs in their places.
@@ -79,7 +84,8 @@
                       bool status);
   boost::asio::awaitable<http_response> Watch(const std::string& kind,
                                               std::uint64_t after,
-                                              std::chrono::milliseconds wait);
+                                              std::chrono::milliseconds wait,
+                                              bool stale);
 
   std::mutex mutex_;
   std::map<std::string, std::map<std::string, object>> kinds_;
@@ -91,6 +97,7 @@
   std::atomic<int> writes_{0};
   std::atomic<int> waiting_writes_{0};
   std::atomic<bool> silent_watches_{false};
+  std::atomic<std::chrono::milliseconds> staleness_{};
   std::string refused_kind_;
   /// Raw specs by the text that stands for them.
   std::map<std::string, std::string> raw_specs_;
