Check what becomes the head of a request, where it enters and in the client

Cause: fields of an item were JSON text that went into the head as they were; Beast writes any bytes and throws for a field of 64 KB.

Change: CheckMethod, CheckTarget and CheckHeader in packages/net follow the grammar of RFC 9110 and 9112. The client checks each head before it connects, so a stored item that can't be sent becomes a dead letter with its reason in the log.

--- a/packages/gateway/src/gateway/active_item.cc
+++ b/packages/gateway/src/gateway/active_item.cc
@@ -73,6 +73,11 @@
   const backend_response_head head =
       host.codec().ParseResponseHead((*call)->status(), (*call)->headers());
   run_result.status = head.status;
+    if (call.error().kind() == error_kind::invalid_request) {
+      // A stored item that cannot be sent.
+      run_result.ending = item_run_outcome::impossible;
+      run_result.server_failed = false;
+    }
   if (!head.executed || head.status != 200) {
     const auto rest = co_await (*call)->ReadAll(kMaxErrorBodyBytes);
     run_result.reason = "status " + std::to_string(head.status);
--- a/packages/net/include/cardamomyard/net.h
+++ b/packages/net/include/cardamomyard/net.h
@@ -12,6 +12,7 @@
 #include "src/net/http_client.h"
 #include "src/net/http_message.h"
 #include "src/net/http_server.h"
+#include "src/net/message_rules.h"
 #include "src/net/request_signer.h"
 #include "src/net/sleep.h"
 #include "src/net/target.h"
--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -24,6 +24,7 @@
 #include <variant>
 #include <vector>
 
+#include "src/net/message_rules.h"
 #include "src/net/tls_context.h"
 
 namespace cardamomyard {
@@ -366,6 +367,9 @@
       call_options options) override {
     const std::shared_ptr<connection_pool> pool = pool_;
     const std::shared_ptr<asio::ssl::context> tls = tls_;
+    if (result<void> valid = CheckHead(request); !valid) {
+      co_return Fail(valid.error().WithOutcome(outcome::not_run));
+    }
     const auto executor = co_await asio::this_coro::executor;
     const connection_pool::key where{
         &asio::query(executor, asio::execution::context), server};
--- a/packages/node/src/node/entry/item_target.cc
+++ b/packages/node/src/node/entry/item_target.cc
@@ -1,5 +1,6 @@
 #include "src/node/entry/item_target.h"
 
+#include "cardamomyard/net.h"
 #include "src/node/entry/inference_request.h"
 
 namespace cardamomyard {
@@ -12,6 +13,9 @@
   if (owner == nullptr) {
     return Fail(error_kind::forbidden, "the client account does not exist");
   }
+  if (const auto valid = CheckTarget(item.url); !valid) {
+    return Fail(valid.error());
+  }
   if (!item.url.starts_with("/v1/")) {
     const route_config* route = content.FindRoute(item.url);
     if (route == nullptr) {
