Refuse a header of 64 KB or more instead of ending the process

Cause: Beast's fields hold less than 64 KB and throw from the parser, and the exception left the connection's coroutine, which ends the process.

Change: the exception is turned into the parser's own header_limit error, so the caller gets 413. Answers of servers have a head limit of 64 KB as a whole, below which no field can throw.

--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -15,6 +15,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
 #include <iterator>
+#include <stdexcept>
 #include <utility>
 
 #include "src/net/error_body.h"
@@ -389,6 +390,20 @@
   std::chrono::milliseconds idle_timeout_;
 };
 
+/// Passes the bytes of \p buffer on to the parser of a head.
+boost::system::error_code PutHead(
+    http::request_parser<http::buffer_body>& parser,
+    beast::flat_buffer& buffer) {
+  boost::system::error_code code;
+  try {
+    buffer.consume(parser.put(buffer.data(), code));
+  } catch (const std::length_error&) {
+    // Beast holds no field of 64 KB or more.
+    return http::make_error_code(http::error::header_limit);
+  }
+  return code;
+}
+
 /// Waits for the next request and reads its head.
 template <class Stream>
 asio::awaitable<boost::system::error_code> ReadHead(
@@ -404,8 +419,7 @@
   while (true) {
     if (buffer.size() > 0) {
       deadline.Begin();
-      boost::system::error_code code;
-      buffer.consume(parser.put(buffer.data(), code));
+      boost::system::error_code code = PutHead(parser, buffer);
       if (code && code != http::error::need_more) {
         co_return code;
       }
--- a/test/item_fields_test.cc
+++ b/test/item_fields_test.cc
@@ -84,5 +84,23 @@
   EXPECT_EQ(Runs("i-0"), 0U);
 }
 
+TEST_F(item_fields, RequestWithAHugeHeaderEndsNoProcess) {
+  Configure(2, {kKey}, {MakeRoute("ask", "streaming", true)},
+            {{"max-header-bytes", 200'000}});
+  const host gateway = StartGateway("g1");
+  const auto raw = harness::raw_connection::Open(gateway.front);
+  ASSERT_TRUE(raw);
+  ASSERT_TRUE((*raw)->Send(
+      "POST /ask/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r2\r\n"
+      "Model: " +
+      std::string(66 * 1024, 'm') + "\r\nContent-Length: 0\r\n\r\n"));
+  const http_response refused = (*raw)->ReadAnswer();
+  EXPECT_GE(refused.status, 400);
+  EXPECT_LT(refused.status, 500);
+  EXPECT_TRUE(gateway.process->Running()) << Log("g1");
+  const http_request sound = Request("POST", "/ask/1", "r1", "hello");
+  EXPECT_EQ(client().Call(gateway.front, sound).status, 200);
+}
+
 }  // namespace
 }  // namespace cardamomyard
