Send nothing more to a server that announces that it leaves

Cause: the header was passed on and not read; the directory of servers knew only the store's entries.

Change: platform/ decodes the header once into backend_response_head::leaving. departure_registry (packages/membership, no network) holds announcements by instance and decides what proves one; the directory excludes such servers from the pool, whatever older or newer records of that instance say, and a request that was placed but not written is placed again.

--- a/packages/fleet/src/fleet/backend_directory.cc
+++ b/packages/fleet/src/fleet/backend_directory.cc
@@ -12,8 +12,16 @@
 // Removals this soon after an outage may be expiries caused by it.
 constexpr std::chrono::milliseconds kPostOutageWindow{1000};
 
+bool TakesNewWork(departure_state state) {
+  return state == departure_state::none || state == departure_state::claimed;
+}
+
 }  // namespace
 
+backend_instance backend_entry::instance() const {
+  return {id, address.ToString(), started_unix_ms, revision};
+}
+
 backend_directory::backend_directory(std::chrono::milliseconds max_drain_time)
     : max_drain_time_(max_drain_time) {}
 
@@ -50,6 +58,9 @@
 }
 
 void backend_directory::Upsert(backend_entry entry, time_point /*now*/) {
+  departures_.EndReplaced(entry.instance(), [this](const std::string& id) {
+    return entries_.contains(id);
+  });
   std::string id = entry.id;
   entries_.insert_or_assign(std::move(id),
                             state{std::move(entry), std::nullopt});
@@ -66,14 +77,61 @@
   store_recovered_at_ = now;
 }
 
+bool backend_directory::AnnounceLeaving(const backend_entry& server,
+                                        time_point now) {
+  // Its entry may have changed since the request was sent.
+  const auto current = entries_.find(server.id);
+  const bool is_listed = current != entries_.end() &&
+                         current->second.entry.address == server.address;
+  return departures_.Announce(
+      is_listed ? current->second.entry.instance() : server.instance(), now);
+}
+
+std::vector<departure> backend_directory::AnnouncedLeaving(
+    time_point now) const {
+  std::vector<departure> announced = departures_.Announced(now);
+  std::erase_if(announced, [this](const departure& known) {
+    return !entries_.contains(known.instance.id);
+  });
+  return announced;
+}
+
+bool backend_directory::TakesWork(const backend_entry& server) const {
+  return TakesNewWork(departures_.StateOf(server.instance()));
+}
+
+leaving_counts backend_directory::CountLeaving() const {
+  leaving_counts counts;
+  for (const auto& [id, current] : entries_) {
+    counts.by_entry += current.entry.draining ? 1 : 0;
+    switch (departures_.StateOf(current.entry.instance())) {
+      case departure_state::none:
+        break;
+      case departure_state::claimed:
+        ++counts.by_one_host;
+        break;
+      case departure_state::confirmed:
+        ++counts.by_hosts;
+        break;
+      case departure_state::announced:
+        ++counts.by_answer;
+        break;
+    }
+  }
+  return counts;
+}
+
 std::vector<usable_backend> backend_directory::Usable(time_point now) {
   std::erase_if(entries_, [now](const auto& current) {
     return current.second.usable_until && now >= *current.second.usable_until;
   });
   std::vector<usable_backend> usable;
   for (const auto& [id, current] : entries_) {
-    if (!current.entry.draining) {
-      usable.push_back({current.entry, current.usable_until.has_value()});
+    const departure_state leaving =
+        departures_.StateOf(current.entry.instance());
+    if (!current.entry.draining && TakesNewWork(leaving)) {
+      usable.push_back({current.entry, current.usable_until.has_value(),
+                        leaving == departure_state::claimed});
     }
   }
   return usable;
--- a/packages/fleet/src/fleet/backend_directory.h
+++ b/packages/fleet/src/fleet/backend_directory.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cardamomyard/base.h"
+#include "cardamomyard/membership.h"
 #include "cardamomyard/net.h"
 
 namespace cardamomyard {
@@ -23,6 +24,9 @@
   bool draining = false;
   /// When this incarnation started, in ms of wall time; 0 when not known.
   std::int64_t started_unix_ms = 0;
+  std::uint64_t revision = 0;  ///< Revision of the store.
+
+  backend_instance instance() const;
   friend bool operator==(const backend_entry&, const backend_entry&) = default;
 };
 
@@ -32,10 +36,22 @@
   /// Its registration disappeared recently: use it only when no other server
   /// is free.
   bool unregistered = false;
+  /// Another host says that it leaves: the same holds.
+  bool may_leave = false;
   friend bool operator==(const usable_backend&,
                          const usable_backend&) = default;
 };
 
+/// \brief How many registered servers leave, by what this host knows it from.
+struct leaving_counts {
+  std::size_t by_entry = 0;
+  std::size_t by_answer = 0;
+  std::size_t by_hosts = 0;     ///< At least two hosts say so.
+  std::size_t by_one_host = 0;  ///< No proof; still usable.
+  friend bool operator==(const leaving_counts&,
+                         const leaving_counts&) = default;
+};
+
 /// \brief The registered backend servers.
 ///
 /// A registration can expire during a store outage although the server is
@@ -53,8 +69,20 @@
   /// Called when the store answers again after an outage.
   void OnStoreRecovered(time_point now);
 
-  /// \returns servers that are neither draining nor unregistered for longer
-  /// than the grace period.
+  /// The server that was reached as \p server announced that it leaves.
+  /// \returns whether that is new.
+  bool AnnounceLeaving(const backend_entry& server, time_point now);
+  /// Announcements that other hosts received, or that are not proved.
+  departure_registry& departures() { return departures_; }
+  /// \returns the announcements that this host received from servers that are
+  /// registered.
+  std::vector<departure> AnnouncedLeaving(time_point now) const;
+  /// \returns whether \p server may get new work.
+  bool TakesWork(const backend_entry& server) const;
+  leaving_counts CountLeaving() const;
+
+  /// \returns servers that neither leave nor are unregistered for longer than
+  /// the grace period.
   std::vector<usable_backend> Usable(time_point now);
   std::size_t registered() const { return entries_.size(); }
 
@@ -69,6 +97,7 @@
   std::chrono::milliseconds max_drain_time_;
   std::optional<time_point> store_recovered_at_;
   std::map<std::string, state> entries_;
+  departure_registry departures_;
 };
 
 }  // namespace cardamomyard
--- a/packages/fleet/src/fleet/backend_pool.cc
+++ b/packages/fleet/src/fleet/backend_pool.cc
@@ -82,6 +82,7 @@
     backend_status status;
     status.entry = usable.entry;
     status.unregistered = usable.unregistered;
+    status.may_leave = usable.may_leave;
     if (const auto own = own_.find(id); own != own_.end()) {
       status.own_online = own->second.online;
       status.own_batch = own->second.batch;
--- a/packages/fleet/src/fleet/backend_pool.h
+++ b/packages/fleet/src/fleet/backend_pool.h
@@ -21,6 +21,7 @@
 struct backend_status {
   backend_entry entry;
   bool unregistered = false;
+  bool may_leave = false;
   int online = 0;      ///< Online requests of all hosts.
   int batch = 0;       ///< Batch items of all hosts; can be preempted.
   int own_online = 0;  ///< Online requests of this host.
--- a/packages/fleet/src/fleet/batch_placement.cc
+++ b/packages/fleet/src/fleet/batch_placement.cc
@@ -70,8 +70,12 @@
     time_point now) const {
   const backend_status* best = nullptr;
   int best_free = 0;
+  const bool all_may_leave =
+      std::all_of(servers.begin(), servers.end(),
+                  [](const auto& server) { return server.may_leave; });
   for (const backend_status& server : servers) {
-    if (server.in_backoff || server.unregistered) {
+    if (server.in_backoff || server.unregistered ||
+        (server.may_leave && !all_may_leave)) {
       continue;
     }
     const auto history = history_.find(server.entry.id);
--- a/packages/fleet/src/fleet/online_placement.cc
+++ b/packages/fleet/src/fleet/online_placement.cc
@@ -21,7 +21,8 @@
 constexpr double kOtherZoneLoad = 0.4;
 // Steers requests to the servers whose primary host is this one.
 constexpr double kNonPrimaryLoad = 0.8;
-// A missing registration mostly means a dead server.
+// Preferred to a server without registration, which is mostly dead.
+constexpr double kMayLeaveLoad = 500;
 constexpr double kUnregisteredLoad = 1000;
 // Refused callers return spread over this time, about one burst.
 constexpr double kRetryJitterMs = 900;
@@ -94,6 +95,7 @@
                         (server.entry.zone == zone_ ? 0 : kOtherZoneLoad) +
                         (is_primary ? 0 : kNonPrimaryLoad) +
                         (server.unregistered ? kUnregisteredLoad : 0) +
+                        (server.may_leave ? kMayLeaveLoad : 0) +
                         tie_breaker(random_);
     if (load < best_load) {
       best_load = load;
--- a/packages/gateway/src/gateway/active_item.cc
+++ b/packages/gateway/src/gateway/active_item.cc
@@ -55,11 +55,16 @@
       };
   options.origin_of = &origin_of;
   options.request_name = input.id;
+  const std::function<bool()> may_send = [&] {
+    return host.MaySend(run->backend);
+  };
+  options.may_send = &may_send;
   const auto mark_interrupted = [&](const error& cause) {
     run_result.ending = cause.ran() == outcome::not_run
                             ? item_run_outcome::refused
                             : item_run_outcome::interrupted;
-    run_result.server_failed = !run->stopped;
+    // That a server which leaves ends is no failure of the item.
+    run_result.server_failed = !run->stopped && host.MaySend(run->backend);
     run_result.reason = run->stopped ? "stopped" : cause.message();
   };
 
@@ -68,16 +73,17 @@
       host.codec().MakeBackendRequest(input, route_host, fields), options);
   if (!call) {
     mark_interrupted(call.error());
-    co_return run_result;
-  }
-  const backend_response_head head =
-      host.codec().ParseResponseHead((*call)->status(), (*call)->headers());
-  run_result.status = head.status;
     if (call.error().kind() == error_kind::invalid_request) {
       // A stored item that cannot be sent.
       run_result.ending = item_run_outcome::impossible;
       run_result.server_failed = false;
     }
+    co_return run_result;
+  }
+  const backend_response_head head =
+      host.codec().ParseResponseHead((*call)->status(), (*call)->headers());
+  host.RecordHead(run->backend, head);
+  run_result.status = head.status;
   if (!head.executed || head.status != 200) {
     const auto rest = co_await (*call)->ReadAll(kMaxErrorBodyBytes);
     run_result.reason = "status " + std::to_string(head.status);
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -31,6 +31,9 @@
 constexpr std::chrono::milliseconds kInitialRetryDelay{100};
 constexpr std::chrono::milliseconds kMaxRetryDelay{2000};
 
+// Bounds a digest, which travels in one datagram.
+constexpr std::size_t kMaxReportedDepartures = 256;
+
 constexpr std::string_view kGatewayPrefix = "gateway ";
 constexpr std::string_view kWorkerPrefix = "worker ";
 
@@ -119,10 +122,7 @@
             digests().NotifyChanged();
             callbacks_.on_configuration(std::move(next));
           },
-          [this] {
-            pool_.SetBackends(
-                current_inventory().backends().Usable(clock_.Now()));
-          }});
+          [this] { UpdateBackends(); }});
   auto digests = gossip::Create(
       traffic_.At(0), settings_.internal_listen, settings_.seeds, peers_,
       clock_,
@@ -205,6 +205,79 @@
   crash_monitor_->RecordBreak(backend, std::move(suspect));
 }
 
+void host_runtime::RecordHead(const backend_entry& backend,
+                              const backend_response_head& head) {
+  if (!head.leaving || head.misdirected) {
+    return;
+  }
+  backend_directory& directory = current_inventory().backends();
+  const departure known{backend.instance(), std::chrono::milliseconds(0)};
+  if (!head.is_signed) {
+    // No such answer is passed on.
+    if (directory.departures().AddClaim(settings_.name, known)) {
+      LogDeparture(known, "unsigned answer", settings_.name);
+      UpdateBackends();
+    }
+    return;
+  }
+  if (directory.AnnounceLeaving(backend, clock_.Now())) {
+    LogDeparture(known, "answer", settings_.name);
+    UpdateBackends();
+    gossip_->NotifyChanged();
+  }
+}
+
+void host_runtime::RecordDepartures(const load_digest& digest) {
+  std::vector<departure> claims;
+  claims.reserve(digest.departures.size());
+  for (const departure_report& report : digest.departures) {
+    claims.push_back({{report.backend, report.address, report.started_unix_ms,
+                       static_cast<std::uint64_t>(report.revision)},
+                      report.age});
+  }
+  const std::vector<departure> added =
+      current_inventory().backends().departures().SetClaims(digest.host,
+                                                            std::move(claims));
+  for (const departure& known : added) {
+    LogDeparture(known, "digest", digest.host);
+  }
+  if (!added.empty()) {
+    UpdateBackends();
+  }
+}
+
+void host_runtime::LogDeparture(const departure& known,
+                                std::string_view source,
+                                const std::string& host) {
+  departure_log_.Info("A backend server announced that it leaves.",
+                      {{"backend", known.instance.id},
+                       {"address", known.instance.address},
+                       {"started_unix_ms", known.instance.started_unix_ms},
+                       {"source", source},
+                       {"told_by", host},
+                       {"age_ms", known.age.count()}});
+}
+
+void host_runtime::UpdateBackends() {
+  backend_directory& directory = current_inventory().backends();
+  pool_.SetBackends(directory.Usable(clock_.Now()));
+  const leaving_counts counts = directory.CountLeaving();
+  if (counts == leaving_) {
+    return;
+  }
+  leaving_ = counts;
+  const auto report = [this](std::string_view source, std::size_t count) {
+    metrics_
+        .Gauge("cardamomyard_leaving_backends",
+               {{"source", std::string(source)}})
+        .Set(static_cast<std::int64_t>(count));
+  };
+  report("entry", counts.by_entry);
+  report("answer", counts.by_answer);
+  report("hosts", counts.by_hosts);
+  report("one_host", counts.by_one_host);
+}
+
 void host_runtime::FollowHosts() {
   const auto add = [this](const store_record& record) {
     auto entry = DecodeHost(record);
@@ -314,7 +387,7 @@
 asio::awaitable<void> host_runtime::RunRefreshLoop() {
   while (true) {
     co_await SleepFor(kRefreshPeriod);
-    pool_.SetBackends(current_inventory().backends().Usable(clock_.Now()));
+    UpdateBackends();
     UpdateStorePeers();
     if (UsesShortWatches()) {
       current_inventory().SetWatch(kShortWatchWait,
@@ -387,12 +460,24 @@
   const time_point now = clock_.Now();
   digest.crashes = crashes_.RecentCrashes(now);
   digest.verdicts = crashes_.Verdicts(now);
+  for (departure& known :
+       current_inventory().backends().AnnouncedLeaving(now)) {
+    if (digest.departures.size() == kMaxReportedDepartures) {
+      break;
+    }
+    backend_instance& server = known.instance;
+    digest.departures.push_back(
+        {std::move(server.id), std::move(server.address),
+         server.started_unix_ms, static_cast<std::int64_t>(server.revision),
+         known.age});
+  }
   callbacks_.fill_digest(digest);
 }
 
 void host_runtime::OnDigest(const load_digest& digest) {
   pool_.SetPeerLoads(digest.host, digest.loads);
   crashes_.Merge(digest.crashes, digest.verdicts, clock_.Now());
+  RecordDepartures(digest);
   callbacks_.on_digest(digest);
 }
 
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -83,6 +83,14 @@
   /// Records the start or end of a request or item at a server.
   void RecordStart(const std::string& backend, work_class work);
   void RecordEnd(const std::string& backend, work_class work);
+  /// Records what a server says of itself in the head of an answer. To be
+  /// called before the answer is passed on.
+  void RecordHead(const backend_entry& backend,
+                  const backend_response_head& head);
+  /// \returns whether a request that was placed at a server may still be sent.
+  bool MaySend(const backend_entry& backend) const {
+    return inventory_->backends().TakesWork(backend);
+  }
   /// Records that a server ended the connection of a request early, so that the
   /// request is accused if the server has crashed.
   void RecordBreak(const backend_entry& backend, crash_suspect suspect);
@@ -107,6 +115,12 @@
   std::vector<std::string> LiveGateways() const;
   void FillDigest(load_digest& digest);
   void OnDigest(const load_digest& digest);
+  void RecordDepartures(const load_digest& digest);
+  void LogDeparture(const departure& known,
+                    std::string_view source,
+                    const std::string& host);
+  /// Applies changes of the servers that may get work.
+  void UpdateBackends();
   void FollowHosts();
 
   host_settings settings_;
@@ -116,6 +130,8 @@
   host_clock clock_;
   metrics_registry metrics_;
   part_log log_{"host"};
+  part_log departure_log_{"departures"};
+  leaving_counts leaving_;
   std::int64_t incarnation_;
   std::unique_ptr<http_client> http_;
   std::unique_ptr<relayed_store> store_;
--- a/packages/gateway/src/gateway/protocol.h
+++ b/packages/gateway/src/gateway/protocol.h
@@ -65,6 +65,8 @@
   bool executed = true;
   /// Whether the address now belongs to another server.
   bool misdirected = false;
+  /// Whether the server says that it leaves.
+  bool leaving = false;
   /// False when its body is declared as something else than a stream of events.
   bool may_be_stream = true;
   /// False when it is a success without its server's signature. The head of a
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -360,7 +360,12 @@
 void request_handler::RecordUnreachable(request_state& request,
                                         server_attempt& attempt) {
   --request.attempts;
-  host_->pool().RecordFailure(attempt.backend().id, host_->time().Now());
+  if (!host_->MaySend(attempt.backend())) {
+    // It is no longer chosen, and does not count as tried.
+    request.tried.erase(attempt.backend().id);
+  } else {
+    host_->pool().RecordFailure(attempt.backend().id, host_->time().Now());
+  }
   log_.Warning("A server cannot be reached.",
                {{"request", request.caller.id},
                 {"backend", attempt.backend().id},
--- a/packages/gateway/src/gateway/server_attempt.cc
+++ b/packages/gateway/src/gateway/server_attempt.cc
@@ -40,10 +40,11 @@
       origin_of_(std::move(origin_of)),
       may_send_([this] {
         // Again when the request is resent on a new connection.
-        if (!cancelled_) {
-          written_ = host_->time().Now();
+        if (cancelled_ || !host_->MaySend(backend())) {
+          return false;
         }
-        return !cancelled_;
+        written_ = host_->time().Now();
+        return true;
       }),
       canceller_(std::make_shared<call_canceller>()),
       changed_(executor),
@@ -59,6 +60,11 @@
                                            call_options options) {
   response_ = co_await host_->http().Open(backend().address, std::move(message),
                                           std::move(options));
+  if (*response_) {
+    const http_call& call = ***response_;
+    host_->RecordHead(backend(), host_->codec().ParseResponseHead(
+                                     call.status(), call.headers()));
+  }
   if (cancelled_ && *response_) {
     (**response_)->Cancel();
   }
--- a/packages/membership/include/cardamomyard/membership.h
+++ b/packages/membership/include/cardamomyard/membership.h
@@ -7,6 +7,7 @@
 
 #include "src/membership/backend_view.h"
 #include "src/membership/contact_monitor.h"
+#include "src/membership/departure_registry.h"
 #include "src/membership/host_view.h"
 
 #endif  // CARDAMOMYARD_MEMBERSHIP_H_
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -119,6 +119,14 @@
   4: i32 trials
 }
 
+struct Departure {
+  1: string backend
+  2: string address
+  3: i64 started_unix_ms
+  4: i64 revision
+  5: i64 age_ms
+}
+
 struct LoadDigest {
   1: string host
   2: string address
@@ -135,6 +143,7 @@
   13: i64 backend_revision
   14: list<CrashReport> crashes
   15: list<CrashVerdict> verdicts
+  16: list<Departure> departures
 }
 
 struct InventoryRecord {
--- a/packages/wire/src/wire/fleet_codec.cc
+++ b/packages/wire/src/wire/fleet_codec.cc
@@ -94,6 +94,16 @@
         entry.trials = verdict.trials;
         return entry;
       });
+  wire.departures =
+      ConvertList(message.departures, [](const departure_report& report) {
+        thrift_wire::Departure entry;
+        entry.backend = report.backend;
+        entry.address = report.address;
+        entry.started_unix_ms = report.started_unix_ms;
+        entry.revision = report.revision;
+        entry.age_ms = report.age.count();
+        return entry;
+      });
   return Serialize(wire);
 }
 
@@ -139,6 +149,12 @@
                              entry.refused, ReadAge(entry.age_ms),
                              entry.trials};
       });
+  message.departures =
+      ConvertList(wire->departures, [](const thrift_wire::Departure& entry) {
+        return departure_report{entry.backend, entry.address,
+                                entry.started_unix_ms, entry.revision,
+                                ReadAge(entry.age_ms)};
+      });
   return message;
 }
 
--- a/packages/wire/src/wire/fleet_messages.h
+++ b/packages/wire/src/wire/fleet_messages.h
@@ -60,6 +60,17 @@
   friend bool operator==(const crash_verdict&, const crash_verdict&) = default;
 };
 
+/// \brief A backend server that announced to the sender that it leaves.
+struct departure_report {
+  std::string backend;
+  std::string address;
+  std::int64_t started_unix_ms = 0;  ///< 0 when not known.
+  std::int64_t revision = 0;         ///< Of its entry in the store.
+  std::chrono::milliseconds age{0};
+  friend bool operator==(const departure_report&,
+                         const departure_report&) = default;
+};
+
 enum class host_role : std::int32_t { gateway = 0, worker = 1 };
 
 /// \brief State of one host, sent to its peers by datagram.
@@ -83,6 +94,7 @@
   event_age store_contact_age;
   std::vector<crash_report> crashes;
   std::vector<crash_verdict> verdicts;
+  std::vector<departure_report> departures;
   friend bool operator==(const load_digest&, const load_digest&) = default;
 };
 
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -43,6 +43,34 @@
   RC_ASSERT(*decoded == message);
 }
 
+// Bytes that a build without departures sent.
+TEST(CodecTest, DigestOfAnEarlierBuildIsRead) {
+  const std::string hex =
+      "18026731180b3132372e302e302e313a3118016115021604160611160819"
+      "1c18027331150c150e00190c190c1610160a190c191c1612111614151600"
+      "00";
+  std::string bytes;
+  for (std::size_t at = 0; at < hex.size(); at += 2) {
+    bytes += static_cast<char>(std::stoi(hex.substr(at, 2), nullptr, 16));
+  }
+  load_digest message;
+  message.host = "g1";
+  message.address = "127.0.0.1:1";
+  message.zone = "a";
+  message.role = host_role::worker;
+  message.incarnation = 2;
+  message.sequence = 3;
+  message.draining = true;
+  message.configuration_revision = 4;
+  message.backend_revision = 5;
+  message.loads = {{"s1", 6, 7}};
+  message.store_contact_age = std::chrono::milliseconds(8);
+  message.verdicts = {{9, true, std::chrono::milliseconds(10), 11}};
+  const auto decoded = Decode<load_digest>(bytes);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(*decoded, message);
+}
+
 RC_GTEST_PROP(CodecTest,
               LoadDigestIsReadBack,
               (const std::string& host, std::uint64_t fingerprint)) {
@@ -56,6 +84,8 @@
                       std::chrono::milliseconds(6),
                       {{fingerprint, {fingerprint, 7}}, {8, {}}}}};
   message.verdicts = {{fingerprint, true, std::chrono::milliseconds(9), 10}};
+  message.departures = {
+      {host, "127.0.0.1:1", 11, 12, std::chrono::milliseconds(13)}};
   const auto decoded = Decode<load_digest>(Encode(message));
   RC_ASSERT(decoded.has_value());
   RC_ASSERT(*decoded == message);
--- a/standins/platform/platform_engine.cc
+++ b/standins/platform/platform_engine.cc
@@ -49,6 +49,16 @@
   silent_until_ = std::chrono::steady_clock::now() + time;
 }
 
+header_list platform_engine::AnswerHeaders(
+    const std::string& request_id) const {
+  header_list headers;
+  headers.Set("Request-Id", request_id);
+  if (leaving_) {
+    headers.Set("Server-Leaving", "1");
+  }
+  return headers;
+}
+
 asio::awaitable<void> platform_engine::WaitWhileSilent() const {
   while (std::chrono::steady_clock::now() < silent_until_.load()) {
     co_await SleepFor(kEventTime);
@@ -61,13 +71,14 @@
   const std::string request_id = request.headers.Get("Request-Id").value_or("");
   co_await WaitWhileSilent();
   http_response refusal;
-  refusal.headers.Set("Request-Id", request_id);
+  refusal.headers = AnswerHeaders(request_id);
   const auto target = request.headers.Get("Target-Instance");
   if (target && *target != id_) {
     refusal.status = 421;
     co_await exchange.Send(std::move(refusal));
     co_return;
   }
+  last_request_ = std::chrono::steady_clock::now();
   if (running_ >= slots_ || Take(refusals_)) {
     refusal.status = 503;
     refusal.headers.Set("Not-Executed", "1");
@@ -89,8 +100,7 @@
   }
   ++running_;
   const bool cut = Take(cuts_);
-  header_list headers;
-  headers.Set("Request-Id", request_id);
+  header_list headers = AnswerHeaders(request_id);
   headers.Set("Response-Signature", "signed-by-" + id_);
   headers.Set("Content-Type", "text/event-stream");
   co_await exchange.StartStream(200, std::move(headers));
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -37,6 +37,9 @@
   /// open and requests are taken meanwhile.
   void FallSilent(std::chrono::milliseconds time);
 
+  /// From now on each answer says that the server leaves, or no longer does.
+  void AnnounceLeaving(bool leaving) { leaving_ = leaving; }
+
   /// Streams that begin from now on have \p count events.
   void SetEvents(int count) { events_ = count; }
 
@@ -46,11 +49,17 @@
   std::vector<std::string> keys();
   std::vector<std::string> accounts();
   int running() const { return running_; }
+  /// \returns when the last request arrived that was meant for this server.
+  std::chrono::steady_clock::time_point last_request() const {
+    return last_request_;
+  }
 
   /// \returns the data of one event.
   static std::string Event(int number);
 
  private:
+  /// \returns the headers of each answer.
+  header_list AnswerHeaders(const std::string& request_id) const;
   /// Returns when the server is not silent.
   boost::asio::awaitable<void> WaitWhileSilent() const;
 
@@ -61,6 +70,8 @@
   std::atomic<int> refusals_{0};
   std::atomic<int> drops_{0};
   std::atomic<int> events_{kEvents};
+  std::atomic<bool> leaving_{false};
+  std::atomic<std::chrono::steady_clock::time_point> last_request_{};
   std::atomic<std::chrono::steady_clock::time_point> silent_until_{};
   std::mutex mutex_;
   std::map<std::string, int> runs_;
