Own interface: tell in answers that a draining server leaves

Seen by reading: a sidecar that drains told it by heartbeat only, so an entry host that hears no heartbeats sent requests there for up to 3 s, each refused and tried again.

Change: each answer of a draining sidecar, refusals too, names its incarnation in X-Cardamomyard-Leaving; the entry host obeys it by the same departure_registry, for that incarnation only, whatever later heartbeats or the host list say. Entry hosts don't repeat it to each other, since the sidecar sends its heartbeats to all of them.

Shown: BackendViewTest.Rule11_ServersThatAnnouncedInAnAnswerAreNotUsable. No test with real processes separates the answer from the heartbeat that a drain sends at once.

--- a/packages/membership/src/membership/backend_view.cc
+++ b/packages/membership/src/membership/backend_view.cc
@@ -75,6 +75,9 @@
     // The host list may still describe the previous incarnation, so a server
     // that is leaving stays so until the list shows it as live.
     known.last_listed = now;
+    departures_.EndReplaced(
+        Instance(report.id, report.incarnation),
+        [this](const std::string& id) { return entries_.contains(id); });
   } else if (const auto next = NextBackendState(previous.state, report.state)) {
     accepted.state = *next;
   } else {
@@ -85,6 +88,18 @@
   return true;
 }
 
+backend_instance backend_view::Instance(const std::string& id,
+                                        std::uint64_t incarnation) {
+  // The id stands for the address, as an incarnation never changes it.
+  return {id, id, static_cast<std::int64_t>(incarnation), incarnation};
+}
+
+bool backend_view::AnnounceLeaving(const std::string& id,
+                                   std::uint64_t incarnation,
+                                   time_point now) {
+  return departures_.Announce(Instance(id, incarnation), now);
+}
+
 void backend_view::ApplyHostList(const std::set<std::string>& live,
                                  const std::set<std::string>& leaving,
                                  time_point now) {
@@ -113,8 +128,12 @@
     // removes no server.
     const bool missing =
         host_list_received_ && known.last_listed + list_lag_ < host_list_time_;
+    const bool announced =
+        departures_.StateOf(Instance(id, known.report.incarnation)) !=
+        departure_state::none;
     if (known.report.state == backend_state::serving && !known.leaving &&
-        !missing && now < known.last_heartbeat + kHeartbeatTimeout) {
+        !announced && !missing &&
+        now < known.last_heartbeat + kHeartbeatTimeout) {
       (*usable)[known.report.deployment].push_back(known.report);
     }
   }
--- a/packages/membership/src/membership/backend_view.h
+++ b/packages/membership/src/membership/backend_view.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cardamomyard/base.h"
+#include "src/membership/departure_registry.h"
 
 namespace cardamomyard {
 
@@ -54,6 +55,11 @@
 
   /// \returns whether the report was accepted; outdated ones are not.
   bool ApplyHeartbeat(const backend_report& report, time_point now);
+  /// An answer of the server's sidecar announced that it leaves.
+  /// \returns whether that is new.
+  bool AnnounceLeaving(const std::string& id,
+                       std::uint64_t incarnation,
+                       time_point now);
   /// \brief Applies the host list, which removes servers but never adds any.
   void ApplyHostList(const std::set<std::string>& live,
                      const std::set<std::string>& leaving,
@@ -69,7 +75,11 @@
     bool leaving = false;
   };
 
+  static backend_instance Instance(const std::string& id,
+                                   std::uint64_t incarnation);
+
   duration list_lag_;
+  departure_registry departures_;
   std::map<std::string, entry> entries_;
   bool host_list_received_ = false;
   time_point host_list_time_;
--- a/packages/membership/test/view_test.cc
+++ b/packages/membership/test/view_test.cc
@@ -37,6 +37,19 @@
   EXPECT_TRUE(view.UsableBackends(kStart)->empty());
 }
 
+TEST(BackendViewTest, Rule11_ServersThatAnnouncedInAnAnswerAreNotUsable) {
+  backend_view view(seconds(5));
+  view.ApplyHeartbeat(Report(1, 1, backend_state::serving), kStart);
+  EXPECT_TRUE(view.AnnounceLeaving("s1", 1, kStart));
+  EXPECT_FALSE(view.AnnounceLeaving("s1", 1, kStart));
+  EXPECT_TRUE(view.UsableBackends(kStart)->empty());
+  view.ApplyHeartbeat(Report(1, 2, backend_state::serving), kStart);
+  view.ApplyHostList({"s1"}, {}, kStart);
+  EXPECT_TRUE(view.UsableBackends(kStart)->empty());
+  view.ApplyHeartbeat(Report(2, 1, backend_state::serving), kStart);
+  EXPECT_FALSE(view.UsableBackends(kStart)->empty());
+}
+
 // A delayed heartbeat could make a drained server usable again.
 TEST(BackendViewTest, Rule11_OutdatedReportsAreIgnored) {
   backend_view view(seconds(5));
--- a/packages/node/src/node/answer_relay.cc
+++ b/packages/node/src/node/answer_relay.cc
@@ -71,6 +71,10 @@
   if (!options.exchange_id.empty()) {
     headers.Set(internal_api::kExchangeId, options.exchange_id);
   }
+  if (std::string leaving = options.leaving ? options.leaving() : "";
+      !leaving.empty()) {
+    headers.Set(internal_api::kLeaving, std::move(leaving));
+  }
   return headers;
 }
 
--- a/packages/node/src/node/answer_relay.h
+++ b/packages/node/src/node/answer_relay.h
@@ -15,6 +15,9 @@
   std::string request_id;
   /// Echoed to an entry host; empty when the answer goes to a caller.
   std::string exchange_id;
+  /// Asked when the head is sent to an entry host: the incarnation of this
+  /// sidecar if it drains, otherwise empty.
+  std::function<std::string()> leaving;
   /// Longest time without an event of a stream. Comments and bytes that
   /// complete no event do not count.
   std::chrono::milliseconds event_timeout{600'000};
--- a/packages/node/src/node/entry/backend_registry.cc
+++ b/packages/node/src/node/entry/backend_registry.cc
@@ -1,8 +1,11 @@
 #include "src/node/entry/backend_registry.h"
 
+#include <charconv>
 #include <set>
 #include <utility>
 
+#include "cardamomyard/telemetry.h"
+
 namespace cardamomyard {
 namespace {
 
@@ -10,6 +13,8 @@
 // removed.
 constexpr std::chrono::seconds kHostListLag{30};
 
+constexpr part_log kLog("backends");
+
 backend_report ToReport(const heartbeat& message) {
   backend_report report;
   report.id = message.id;
@@ -67,6 +72,26 @@
   }
 }
 
+void backend_registry::OnLeaving(const std::string& id,
+                                 const std::string& incarnation) {
+  std::uint64_t number = 0;
+  const char* const end = incarnation.data() + incarnation.size();
+  if (const auto [read, status] =
+          std::from_chars(incarnation.data(), end, number);
+      status != std::errc() || read != end) {
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    if (!view_.AnnounceLeaving(id, number, context_->time().Now())) {
+      return;
+    }
+  }
+  kLog.Info("A backend server announced that it leaves.",
+            {{"backend", id}, {"incarnation", number}, {"source", "answer"}});
+  Refresh();
+}
+
 void backend_registry::OnHostList(const std::vector<listed_host>& hosts) {
   std::set<std::string> live;
   std::set<std::string> leaving;
--- a/packages/node/src/node/entry/backend_registry.h
+++ b/packages/node/src/node/entry/backend_registry.h
@@ -26,6 +26,9 @@
   void OnHeartbeat(const heartbeat& message);
   /// Applies the host list, which only removes servers.
   void OnHostList(const std::vector<listed_host>& hosts);
+  /// An answer of the sidecar announced that its server leaves.
+  /// \param incarnation  of the sidecar, as text.
+  void OnLeaving(const std::string& id, const std::string& incarnation);
   /// Drops silent servers; must be called several times a second.
   void Refresh();
 
--- a/packages/node/src/node/entry/forwarder.cc
+++ b/packages/node/src/node/entry/forwarder.cc
@@ -217,6 +217,15 @@
   options.idle_timeout = options.head_timeout;
   options.body_timeout = options.head_timeout;
   auto opened = co_await OpenCall(*address, std::move(forwarded), options);
+  const bool is_for_this_request =
+      opened &&
+      (*opened)->headers().Get(internal_api::kExchangeId) == exchange_id;
+  if (is_for_this_request) {
+    if (const auto incarnation =
+            (*opened)->headers().Get(internal_api::kLeaving)) {
+      backends_->OnLeaving(choice->id, *incarnation);
+    }
+  }
   if (!opened) {
     report.relay.failure = opened.error();
     if (opened.error().ran() == outcome::not_run &&
@@ -224,8 +233,7 @@
       report.relay.failure =
           error::Make(error_kind::no_backend, opened.error().message());
     }
-  } else if ((*opened)->headers().Get(internal_api::kExchangeId) !=
-             exchange_id) {
+  } else if (!is_for_this_request) {
     report.relay.failure = error::Make(error_kind::backend_failed,
                                        "the answer belongs to another request");
   } else if ((*opened)->status() >= 400 &&
--- a/packages/node/src/node/internal_api.h
+++ b/packages/node/src/node/internal_api.h
@@ -34,6 +34,9 @@
 /// than the refusal.
 inline constexpr std::string_view kSuspect = "X-Cardamomyard-Suspect";
 
+/// On each answer of a sidecar that drains: its incarnation.
+inline constexpr std::string_view kLeaving = "X-Cardamomyard-Leaving";
+
 inline constexpr std::string_view kRequestId = "X-Request-Id";
 inline constexpr std::string_view kTraceparent = "traceparent";
 
--- a/packages/node/src/node/sidecar/online_handler.cc
+++ b/packages/node/src/node/sidecar/online_handler.cc
@@ -63,12 +63,14 @@
                                const sidecar_settings& settings,
                                admission_gate& gate,
                                backend_monitor& monitor,
-                               std::function<std::optional<error>()> ready)
+                               std::function<std::optional<error>()> ready,
+                               std::function<std::string()> leaving)
     : context_(&context),
       settings_(&settings),
       gate_(&gate),
       monitor_(&monitor),
-      ready_(std::move(ready)) {}
+      ready_(std::move(ready)),
+      leaving_(std::move(leaving)) {}
 
 asio::awaitable<void> online_handler::Handle(http_exchange& exchange,
                                              http_request request) {
@@ -109,6 +111,9 @@
     http_response refusal = ErrorResponse(*failure, request_id_text);
     refusal.headers.Set(internal_api::kExchangeId, exchange_id);
     refusal.headers.Set(internal_api::kRefusal, "1");
+    if (std::string leaving = leaving_(); !leaving.empty()) {
+      refusal.headers.Set(internal_api::kLeaving, std::move(leaving));
+    }
     if (const auto suspect = monitor_->FindSuspect(fingerprint)) {
       refusal.headers.Set(internal_api::kSuspect, ToHeader(*suspect));
     }
@@ -155,6 +160,7 @@
     relay_options relay;
     relay.request_id = call.request_id_text;
     relay.exchange_id = call.exchange_id;
+    relay.leaving = leaving_;
     relay.event_timeout = call.budget;
     relay_report report =
         co_await RelayAnswer(**opened, exchange, std::move(relay));
--- a/packages/node/src/node/sidecar/online_handler.h
+++ b/packages/node/src/node/sidecar/online_handler.h
@@ -15,11 +15,13 @@
 class online_handler {
  public:
   /// \param ready  returns the reason to refuse new work, or nothing.
+  /// \param leaving  see relay_options.
   online_handler(process_context& context,
                  const sidecar_settings& settings,
                  admission_gate& gate,
                  backend_monitor& monitor,
-                 std::function<std::optional<error>()> ready);
+                 std::function<std::optional<error>()> ready,
+                 std::function<std::string()> leaving);
 
   boost::asio::awaitable<void> Handle(http_exchange& exchange,
                                       http_request request);
@@ -35,6 +37,7 @@
   admission_gate* gate_;
   backend_monitor* monitor_;
   std::function<std::optional<error>()> ready_;
+  std::function<std::string()> leaving_;
 };
 
 }  // namespace cardamomyard
--- a/packages/node/src/node/sidecar/sidecar.cc
+++ b/packages/node/src/node/sidecar/sidecar.cc
@@ -54,11 +54,16 @@
       share_table_(*context_),
       gate_(MakeAdmissionPolicy(settings_), context_->time()),
       monitor_(*context_, settings_, gate_),
-      handler_(*context_,
-               settings_,
-               gate_,
-               monitor_,
-               [this] { return Refusal(); }),
+      handler_(
+          *context_,
+          settings_,
+          gate_,
+          monitor_,
+          [this] { return Refusal(); },
+          [this] {
+            return draining_ ? std::to_string(context_->incarnation())
+                             : std::string();
+          }),
       server_(*context_),
       heartbeats_(
           *context_,
