Batch placement: an idle server takes an item whatever reserve and margin are

Cause: a worker that is not a server's primary leaves one slot free there, and services with a tight objective reserve one. On a server of one slot (of two with both) nothing is left, so only the primary could use it, or nobody. The items of other workers waited until they expired.

Change: reserve and margin together leave at most all slots but one. Online requests preempt the item as before.

--- a/packages/fleet/src/fleet/batch_placement.cc
+++ b/packages/fleet/src/fleet/batch_placement.cc
@@ -14,6 +14,12 @@
 // The history of servers that were not listed for this long is dropped.
 constexpr std::chrono::seconds kHistoryRetention{10};
 
+/// \returns how many of \p kept slots an item must leave free. An idle server
+/// takes one item however small it is; online requests preempt it.
+int SlotsToLeave(const backend_entry& server, int kept) {
+  return std::min(kept, std::max(1, server.slots) - 1);
+}
+
 }  // namespace
 
 std::vector<std::string> ServicesInTurn(
@@ -48,7 +54,7 @@
       history.peak_at = now;
     }
     if (server.entry.slots - history.peak_online - server.batch <=
-        kNonPrimaryMargin) {
+        SlotsToLeave(server.entry, kNonPrimaryMargin)) {
       history.spare_since.reset();
     } else if (!history.spare_since) {
       history.spare_since = now;
@@ -83,10 +89,10 @@
     const int online =
         known ? std::max(server.online, history->second.peak_online)
               : server.online;
-    int free = server.entry.slots - reserve - online - server.batch;
+    int kept = reserve;
     const auto primary = RendezvousTop(workers, server.entry.id, 1);
     if (primary.empty() || primary.front() != self_) {
-      free -= kNonPrimaryMargin;
+      kept += kNonPrimaryMargin;
       const auto started = last_start_.find(server.entry.id);
       const bool recently_started = started != last_start_.end() &&
                                     now - started->second < kPropagationDelay;
@@ -98,6 +104,8 @@
         continue;
       }
     }
+    const int free = server.entry.slots - SlotsToLeave(server.entry, kept) -
+                     online - server.batch;
     if (free > best_free) {
       best = &server;
       best_free = free;
