End no process on a trailer of 64 KB or more

Seen: by review of, then by test: a chunked request, or a server's chunked answer, with a trailer of 66 KB ends the process with std::length_error, at the default limits too. A request whose server does so is tried elsewhere, so one server could end many hosts.

Cause: the same as for heads, on another path: Beast parses trailers without the head limit, and its fields throw; inside async_read the exception can't be caught by the connection.

Change: while a body is read the buffer holds at most 60 KB, so such a trailer never is whole in it and the read fails with buffer_overflow. A call that may_send refuses no longer opens a connection. The limit of the client for one field is now Beast's own, so that no head that was received is refused later.

--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -37,6 +37,9 @@
 
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::size_t kMaxBufferedBytes = kMaxHeaderBytes + kReadChunkBytes;
+// Beast throws for a trailer of 64 KB, which thus never is in the buffer.
+constexpr std::size_t kMaxBufferedBodyBytes = 60 * 1024;
 constexpr std::size_t kMaxIdlePerServer = 32;
 // A connection without a Keep-Alive header is kept this long. Common servers
 // close idle connections after 5 s.
@@ -72,7 +75,7 @@
   explicit connection(tls_stream secure) : stream(std::move(secure)) {}
 
   std::variant<plain_stream, tls_stream> stream;
-  beast::flat_buffer buffer{kMaxHeaderBytes + kReadChunkBytes};
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   bool reused = false;
   std::chrono::steady_clock::time_point usable_until;
   /// Names of the requests that were answered with an error here.
@@ -240,6 +243,8 @@
     }
     std::array<char, kReadChunkBytes> piece;
     std::size_t got = 0;
+    link_->buffer.max_size(
+        std::max(link_->buffer.size(), kMaxBufferedBodyBytes));
     // Not renewed in the loop: the bytes of a chunk header are no progress.
     link_->lowest().expires_at(std::min<time_point>(
         std::chrono::steady_clock::now() + options_.idle_timeout,
@@ -390,7 +395,8 @@
             options.canceller != nullptr && options.canceller->cancelled();
         // The server may have closed the kept connection in the meantime.
         if (answer || !options.resend_on_stale || is_cancelled ||
-            answer.error().kind() == error_kind::timeout) {
+            answer.error().kind() == error_kind::timeout ||
+            answer.error().kind() == error_kind::not_ready) {
           co_return answer;
         }
         ran = answer.error().ran();
@@ -543,6 +549,7 @@
       const std::shared_ptr<connection_pool>& pool,
       const connection_pool::key& where) {
     auto parser = std::make_unique<call_impl::parser_type>();
+    link->buffer.max_size(kMaxBufferedBytes);
     parser->header_limit(kMaxHeaderBytes);
     parser->body_limit(boost::none);
     auto [code, read] = co_await std::visit(
--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -36,6 +36,8 @@
 // Above any limit for heads, since that may be raised while connections are
 // open. The buffer grows only when it is needed.
 constexpr std::size_t kMaxBufferedBytes = 1024 * 1024;
+// Beast throws for a trailer of 64 KB, which thus never is in the buffer.
+constexpr std::size_t kMaxBufferedBodyBytes = 60 * 1024;
 // Looking up a header takes time in proportion to their number.
 constexpr std::ptrdiff_t kMaxHeaders = 100;
 // While draining, a connection whose request is on its way gets this long.
@@ -128,6 +130,7 @@
                       '\0');
     parser_.get().body().data = piece.data();
     parser_.get().body().size = piece.size();
+    buffer_.max_size(std::max(buffer_.size(), kMaxBufferedBodyBytes));
     lowest().expires_after(state_.read_timeout.load());
     auto [code, bytes] =
         co_await http::async_read(stream_, buffer_, parser_, kUseResult);
@@ -415,6 +418,7 @@
   plain_stream& lowest = beast::get_lowest_layer(stream);
   const idle_scope idle(state, lowest);
   head_deadline deadline(state, first);
+  buffer.max_size(kMaxBufferedBytes);
   lowest.expires_never();
   while (true) {
     if (buffer.size() > 0) {
--- a/packages/net/src/net/message_rules.h
+++ b/packages/net/src/net/message_rules.h
@@ -9,8 +9,9 @@
 
 namespace cardamomyard {
 
-/// The longest name or value of a header that can be sent, in bytes.
-inline constexpr std::size_t kMaxHeaderFieldBytes = 65'000;
+/// The longest name or value of a header, in bytes. Beast parses and sends no
+/// longer ones.
+inline constexpr std::size_t kMaxHeaderFieldBytes = 65'533;
 
 /// \brief Checks text that becomes part of the head of a request, by the
 /// grammar of RFC 9110 and RFC 9112. A line break in it would end the head and
--- a/packages/net/test/raw_request_test.cc
+++ b/packages/net/test/raw_request_test.cc
@@ -47,6 +47,19 @@
   std::unique_ptr<http_server> server_;
 };
 
+TEST_F(raw_fixture, HugeTrailersEndNoProcess) {
+  for (const std::size_t bytes : {1000U, 65'600U, 70U * 1024, 2U << 20U}) {
+    const std::string got = Exchange(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\na\r\n0\r\nX: " +
+        std::string(bytes, 'x') + "\r\n\r\n");
+    EXPECT_EQ(got.ends_with("<a>"), bytes == 1000) << got;
+  }
+  EXPECT_TRUE(
+      Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
+          .ends_with("<b>"));
+}
+
 // Guards against request smuggling: a message whose end is ambiguous.
 TEST_F(raw_fixture, AmbiguousLengthIsRefused) {
   for (const std::string& fields :
--- a/packages/net/test/server_faults_test.cc
+++ b/packages/net/test/server_faults_test.cc
@@ -112,6 +112,18 @@
   ExpectEndlessBytesAreRefused(head + "4\r\nbody\r\n0\r\n", "X: v\r\n");
 }
 
+TEST_F(server_faults, HugeTrailersEndNoProcess) {
+  for (const std::size_t bytes : {50U * 1024, 65'600U, 70U * 1024}) {
+    Serve([&](raw_peer& peer) {
+      peer.Send(
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n1\r\na\r\n0\r\nX: " +
+          std::string(bytes, 'x') + "\r\n\r\n");
+    });
+    EXPECT_EQ(Fetch({}).has_value(), bytes < 60U * 1024) << bytes;
+  }
+}
+
 TEST_F(server_faults, EndlessInterimAnswersAreRefused) {
   ExpectEndlessBytesAreRefused("", "HTTP/1.1 102 Processing\r\n\r\n");
 }
