Let begun requests wait for a server also when none is left

Seen by review: when the last usable server of a service went away, a stream that another server could resume was cut, or a repeatable request that may have run got 502, after 50 ms, though its time lasted. With servers that announce that they leave this is more frequent: the pool empties at once.

Cause: WaitForPlacement() waited for such requests only while some servers were excluded as tried.

Change: they wait to their time limit. New requests are refused at once as before. A head that the client cannot send ends the request as invalid instead of blaming five servers in turn.

--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -187,8 +187,9 @@
       co_return std::move(*place);
     }
     if (std::holds_alternative<no_usable_backend>(chosen) &&
-        MustGoOn(request) && !request.tried.empty() && !request.caller_left) {
-      // Servers that refused or failed may take the rest of the response now.
+        MustGoOn(request) && !request.caller_left) {
+      // Servers that refused or failed may take the rest of the response now,
+      // and others may come.
       request.tried.clear();
       co_await SleepFor(kMoveRetryInterval);
       continue;
@@ -317,6 +318,10 @@
     co_return next_step::finished;
   }
   if (!attempt->response()) {
+    if (attempt->response().error().kind() == error_kind::invalid_request) {
+      co_await Refuse(request, attempt->response().error());
+      co_return next_step::finished;
+    }
     if (!attempt->unreachable()) {
       co_return co_await HandleBrokenAttempt(request, *attempt,
                                              attempt->response().error());
@@ -361,6 +366,7 @@
                                         server_attempt& attempt) {
   --request.attempts;
   if (!host_->MaySend(attempt.backend())) {
+    host_->UpdateBackends();
     // It is no longer chosen, and does not count as tried.
     request.tried.erase(attempt.backend().id);
   } else {
