--- a/packages/fleet/src/fleet/backend_directory.cc
+++ b/packages/fleet/src/fleet/backend_directory.cc
@@ -36,7 +36,8 @@
   return normal_period;
 }
 
-void backend_directory::MarkUnregistered(state& server, time_point now) const {
+void backend_directory::MarkUnregistered(state& server, time_point now) {
+  departures_.RecordRemoved(server.entry.id);
   if (!server.usable_until) {
     server.usable_until = now + GracePeriod(now);
   }
@@ -79,12 +80,7 @@
 
 bool backend_directory::AnnounceLeaving(const backend_entry& server,
                                         time_point now) {
-  // Its entry may have changed since the request was sent.
-  const auto current = entries_.find(server.id);
-  const bool is_listed = current != entries_.end() &&
-                         current->second.entry.address == server.address;
-  return departures_.Announce(
-      is_listed ? current->second.entry.instance() : server.instance(), now);
+  return departures_.Announce(server.instance(), now);
 }
 
 std::vector<departure> backend_directory::AnnouncedLeaving(
--- a/packages/fleet/src/fleet/backend_directory.h
+++ b/packages/fleet/src/fleet/backend_directory.h
@@ -69,7 +69,8 @@
   /// Called when the store answers again after an outage.
   void OnStoreRecovered(time_point now);
 
-  /// The server that was reached as \p server announced that it leaves.
+  /// A server answered as \p server, its entry when the request was placed, and
+  /// announced that it leaves.
   /// \returns whether that is new.
   bool AnnounceLeaving(const backend_entry& server, time_point now);
   /// Announcements that other hosts received, or that are not proved.
@@ -92,7 +93,7 @@
     std::optional<time_point> usable_until;
   };
   duration GracePeriod(time_point now) const;
-  void MarkUnregistered(state& server, time_point now) const;
+  void MarkUnregistered(state& server, time_point now);
 
   std::chrono::milliseconds max_drain_time_;
   std::optional<time_point> store_recovered_at_;
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -32,7 +32,7 @@
 constexpr std::chrono::milliseconds kMaxRetryDelay{2000};
 
 // Bounds a digest, which travels in one datagram.
-constexpr std::size_t kMaxReportedDepartures = 256;
+constexpr std::size_t kMaxReportedDepartures = 100;
 
 constexpr std::string_view kGatewayPrefix = "gateway ";
 constexpr std::string_view kWorkerPrefix = "worker ";
@@ -387,6 +387,10 @@
 asio::awaitable<void> host_runtime::RunRefreshLoop() {
   while (true) {
     co_await SleepFor(kRefreshPeriod);
+    current_inventory().backends().departures().KeepClaimsOf(
+        [this](const std::string& host) {
+          return host == settings_.name || peers_.Find(host) != nullptr;
+        });
     UpdateBackends();
     UpdateStorePeers();
     if (UsesShortWatches()) {
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -87,6 +87,8 @@
   /// called before the answer is passed on.
   void RecordHead(const backend_entry& backend,
                   const backend_response_head& head);
+  /// Applies changes of the servers that may get work to the pool.
+  void UpdateBackends();
   /// \returns whether a request that was placed at a server may still be sent.
   bool MaySend(const backend_entry& backend) const {
     return inventory_->backends().TakesWork(backend);
@@ -119,8 +121,6 @@
   void LogDeparture(const departure& known,
                     std::string_view source,
                     const std::string& host);
-  /// Applies changes of the servers that may get work.
-  void UpdateBackends();
   void FollowHosts();
 
   host_settings settings_;
--- a/packages/gateway/src/gateway/request_relay.cc
+++ b/packages/gateway/src/gateway/request_relay.cc
@@ -302,7 +302,8 @@
   const time_point now = host_->time().Now();
   request.may_have_run = true;
   const bool out_of_time = now + kDeadlineMargin >= request.deadline;
-  if (!out_of_time) {
+  // That a server which leaves ends is no failure.
+  if (!out_of_time && host_->MaySend(backend)) {
     host_->pool().RecordFailure(backend.id, now);
     if (cause.kind() != error_kind::timeout &&
         attempt.events <= kSuspectEvents) {
--- a/packages/membership/src/membership/departure_registry.cc
+++ b/packages/membership/src/membership/departure_registry.cc
@@ -25,14 +25,14 @@
 bool departure_registry::Announce(const backend_instance& server,
                                   time_point now) {
   const auto [known, added] =
-      announced_.try_emplace(server.id, announcement{server, now});
+      announced_.try_emplace(server.id, announcement{server, now, false});
   if (added) {
     return true;
   }
   if (Covers(known->second.instance, server)) {
     return false;
   }
-  known->second = {server, now};
+  known->second = {server, now, false};
   return true;
 }
 
@@ -73,13 +73,28 @@
   return true;
 }
 
+void departure_registry::RecordRemoved(const std::string& id) {
+  const auto known = announced_.find(id);
+  if (known != announced_.end()) {
+    known->second.removed = true;
+  }
+}
+
+void departure_registry::KeepClaimsOf(
+    const std::function<bool(const std::string& host)>& is_known) {
+  std::erase_if(
+      claims_, [&is_known](const auto& item) { return !is_known(item.first); });
+}
+
 void departure_registry::EndReplaced(
     const backend_instance& registered,
     const std::function<bool(const std::string& id)>& is_listed) {
   std::erase_if(announced_, [&](const auto& item) {
     const backend_instance& left = item.second.instance;
     if (left.id == registered.id) {
-      return !Covers(left, registered);
+      const bool is_anew = item.second.removed && left.started_unix_ms == 0 &&
+                           left.revision < registered.revision;
+      return is_anew || !Covers(left, registered);
     }
     return left.address == registered.address &&
            left.revision < registered.revision && !is_listed(left.id);
--- a/packages/membership/src/membership/departure_registry.h
+++ b/packages/membership/src/membership/departure_registry.h
@@ -67,6 +67,13 @@
   /// Adds to what \p host says. \returns whether it has not said so before.
   bool AddClaim(const std::string& host, departure claim);
 
+  /// The entry of a server was removed. Where its start is not known, a newer
+  /// entry then names a new instance.
+  void RecordRemoved(const std::string& id);
+  /// Forgets what hosts say for which \p is_known is false.
+  void KeepClaimsOf(
+      const std::function<bool(const std::string& host)>& is_known);
+
   /// Ends the announcements of earlier instances of a server that is
   /// registered now, and those of unlisted servers that had its address.
   void EndReplaced(const backend_instance& registered,
@@ -80,6 +87,7 @@
   struct announcement {
     backend_instance instance;
     time_point at;
+    bool removed = false;  ///< Whether its entry was removed since.
   };
 
   std::map<std::string, announcement> announced_;
--- a/packages/membership/test/departure_registry_test.cc
+++ b/packages/membership/test/departure_registry_test.cc
@@ -103,6 +103,14 @@
   EXPECT_EQ(registry_.StateOf(claim.instance), departure_state::none);
 }
 
+TEST_F(departures, HostsThatAreGoneSayNothing) {
+  const departure claim{Instance(100, 5), milliseconds(0)};
+  registry_.SetClaims("h1", {claim});
+  registry_.SetClaims("h2", {claim});
+  registry_.KeepClaimsOf([](const std::string& host) { return host == "h2"; });
+  EXPECT_EQ(registry_.StateOf(claim.instance), departure_state::claimed);
+}
+
 TEST_F(departures, AnUnprovedAnswerCountsAsOneHost) {
   const departure claim{Instance(100, 5), milliseconds(0)};
   EXPECT_TRUE(registry_.AddClaim("self", claim));
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -27,6 +27,8 @@
 
   /// The next \p count streams break off in the middle of an event.
   void CutNext(int count) { cuts_ = count; }
+  /// The streams that run now break off at their next event.
+  void CutRunning() { ++cut_rounds_; }
   /// The next \p count requests are refused as if the server were full.
   void RefuseNext(int count) { refusals_ = count; }
 
@@ -67,6 +69,7 @@
   int slots_;
   std::atomic<int> running_{0};
   std::atomic<int> cuts_{0};
+  std::atomic<int> cut_rounds_{0};
   std::atomic<int> refusals_{0};
   std::atomic<int> drops_{0};
   std::atomic<int> events_{kEvents};
--- a/test/leaving_server_test.cc
+++ b/test/leaving_server_test.cc
@@ -245,6 +245,42 @@
   })) << Log("g1");
 }
 
+TEST_F(leaving_server, BegunStreamWaitsForAServer) {
+  const host gateway = StartGateway("g1");
+  for (platform_engine* engine : engines()) {
+    engine->SetEvents(kLongStream);
+  }
+  auto running = Begin(gateway, "long");
+  EXPECT_TRUE(Eventually([&] { return Runs("long") == 1; }));
+  for (platform_engine* engine : engines()) {
+    engine->AnnounceLeaving(true);
+    engine->SetEvents(1);
+  }
+  EXPECT_TRUE(Eventually([&] {
+    static int number = 0;
+    return Ask(gateway, "find-" + std::to_string(number++)).status == 503;
+  })) << Log("g1");
+  for (platform_engine* engine : engines()) {
+    engine->CutRunning();
+  }
+  EXPECT_TRUE(Eventually(
+      [&] { return Logged("g1", "A server broke off a request.", "long"); }));
+  // New instances come after more than the time of a placement.
+  const auto broken = std::chrono::steady_clock::now();
+  EXPECT_TRUE(Eventually([&] {
+    EXPECT_EQ(Ask(gateway, "refused").status, 503);
+    return std::chrono::steady_clock::now() > broken + milliseconds(500);
+  }));
+  for (int number = 0; number < 4; ++number) {
+    engines()[static_cast<std::size_t>(number)]->AnnounceLeaving(false);
+    engines()[static_cast<std::size_t>(number)]->SetEvents(kLongStream);
+    Register(number, 2000);
+  }
+  const stream_answer answer = running.get();
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(answer.whole) << answer.failure << Log("g1");
+}
+
 // Hosts that watch the store closely on behalf of all are lost just before a
 // server drains that does not announce it.
 TEST_F(leaving_server, Rule11_GetsNoRequestAfterTheHostsThatWatchAreLost) {
