Tests: reserve what is filled in a loop

Cause: containers of known size were filled without reserve(). Change: they reserve it; no check changes.

--- a/packages/fleet/test/backend_directory_test.cc
+++ b/packages/fleet/test/backend_directory_test.cc
@@ -56,6 +56,7 @@
 
   void Claim(const std::string& host, const std::vector<std::string>& ids) {
     std::vector<departure> claims;
+    claims.reserve(ids.size());
     for (const std::string& id : ids) {
       claims.push_back({Server(id).instance(), milliseconds(0)});
     }
--- a/packages/membership/test/departure_registry_test.cc
+++ b/packages/membership/test/departure_registry_test.cc
@@ -81,6 +81,7 @@
 
 TEST_F(departures, OneHostCannotMakeAllServersUnusable) {
   std::vector<departure> all;
+  all.reserve(100);
   for (int number = 0; number < 100; ++number) {
     all.push_back(
         {{"s" + std::to_string(number), kAddress, 100, 5}, milliseconds(0)});
--- a/test/leaving_server_test.cc
+++ b/test/leaving_server_test.cc
@@ -124,6 +124,7 @@
     engine->SetEvents(kLongStream);
   }
   std::vector<std::future<stream_answer>> running;
+  running.reserve(8);
   for (int number = 0; number < 8; ++number) {
     running.push_back(Begin(gateways[static_cast<std::size_t>(number) % 2],
                             "long-" + std::to_string(number)));
