--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -15,6 +15,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
 #include <iterator>
+#include <stdexcept>
 #include <utility>
 
 #include "src/net/error_body.h"
@@ -35,6 +36,8 @@
 // Above any limit for heads, since that may be raised while connections are
 // open. The buffer grows only when it is needed.
 constexpr std::size_t kMaxBufferedBytes = 1024 * 1024;
+// Beast throws for a trailer of 64 KB, which thus never is in the buffer.
+constexpr std::size_t kMaxBufferedBodyBytes = 60 * 1024;
 // Looking up a header takes time in proportion to their number.
 constexpr std::ptrdiff_t kMaxHeaders = 100;
 // While draining, a connection whose request is on its way gets this long.
@@ -127,6 +130,7 @@
                       '\0');
     parser_.get().body().data = piece.data();
     parser_.get().body().size = piece.size();
+    buffer_.max_size(std::max(buffer_.size(), kMaxBufferedBodyBytes));
     lowest().expires_after(state_.read_timeout.load());
     auto [code, bytes] =
         co_await http::async_read(stream_, buffer_, parser_, kUseResult);
@@ -389,6 +393,20 @@
   std::chrono::milliseconds idle_timeout_;
 };
 
+/// Passes the bytes of \p buffer on to the parser of a head.
+boost::system::error_code PutHead(
+    http::request_parser<http::buffer_body>& parser,
+    beast::flat_buffer& buffer) {
+  boost::system::error_code code;
+  try {
+    buffer.consume(parser.put(buffer.data(), code));
+  } catch (const std::length_error&) {
+    // Beast holds no field of 64 KB or more.
+    return http::make_error_code(http::error::header_limit);
+  }
+  return code;
+}
+
 /// Waits for the next request and reads its head.
 template <class Stream>
 asio::awaitable<boost::system::error_code> ReadHead(
@@ -400,12 +418,12 @@
   plain_stream& lowest = beast::get_lowest_layer(stream);
   const idle_scope idle(state, lowest);
   head_deadline deadline(state, first);
+  buffer.max_size(kMaxBufferedBytes);
   lowest.expires_never();
   while (true) {
     if (buffer.size() > 0) {
       deadline.Begin();
-      boost::system::error_code code;
-      buffer.consume(parser.put(buffer.data(), code));
+      boost::system::error_code code = PutHead(parser, buffer);
       if (code && code != http::error::need_more) {
         co_return code;
       }
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -27,6 +27,8 @@
 
   /// The next \p count streams break off in the middle of an event.
   void CutNext(int count) { cuts_ = count; }
+  /// The streams that run now break off at their next event.
+  void CutRunning() { ++cut_rounds_; }
   /// The next \p count requests are refused as if the server were full.
   void RefuseNext(int count) { refusals_ = count; }
 
@@ -37,6 +39,9 @@
   /// open and requests are taken meanwhile.
   void FallSilent(std::chrono::milliseconds time);
 
+  /// From now on each answer says that the server leaves, or no longer does.
+  void AnnounceLeaving(bool leaving) { leaving_ = leaving; }
+
   /// Streams that begin from now on have \p count events.
   void SetEvents(int count) { events_ = count; }
 
@@ -46,11 +51,17 @@
   std::vector<std::string> keys();
   std::vector<std::string> accounts();
   int running() const { return running_; }
+  /// \returns when the last request arrived that was meant for this server.
+  std::chrono::steady_clock::time_point last_request() const {
+    return last_request_;
+  }
 
   /// \returns the data of one event.
   static std::string Event(int number);
 
  private:
+  /// \returns the headers of each answer.
+  header_list AnswerHeaders(const std::string& request_id) const;
   /// Returns when the server is not silent.
   boost::asio::awaitable<void> WaitWhileSilent() const;
 
@@ -58,9 +69,12 @@
   int slots_;
   std::atomic<int> running_{0};
   std::atomic<int> cuts_{0};
+  std::atomic<int> cut_rounds_{0};
   std::atomic<int> refusals_{0};
   std::atomic<int> drops_{0};
   std::atomic<int> events_{kEvents};
+  std::atomic<bool> leaving_{false};
+  std::atomic<std::chrono::steady_clock::time_point> last_request_{};
   std::atomic<std::chrono::steady_clock::time_point> silent_until_{};
   std::mutex mutex_;
   std::map<std::string, int> runs_;
