Tests: crowds of misbehaving clients at every port of all four roles

Cause: in a trial such clients ended a process, which ran out of memory. Change: client_memory and client_memory_fleet send bodies far over the limit, announced or not, many chunked bodies in large and very small chunks that stop short of their end, and open connections, and check memory, descriptors and one ordinary request beside the open crowd. The tests' own settings state 64 MB and 400 descriptors; one runs at a time.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -47,6 +47,10 @@
     WRITE ${script}
     "foreach(test IN LISTS ${target}_tests)
   set(labels \"${labels}\")
+  # Tests that bound the memory of a process run apart from other load.
+  if(test MATCHES \"^client_memory\")
+    set_tests_properties(\${test} PROPERTIES RUN_SERIAL TRUE)
+  endif()
   if(test MATCHES \"Rule([0-9][0-9])\")
     list(APPEND labels rule-\${CMAKE_MATCH_1})
   endif()
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -149,7 +149,8 @@
       {"listen", std::move(listen)},
       {"seeds", std::move(seeds)},
       {"bootstrap", true},
-      {"bounds", json::object{{"grace-s", 8}, {"drain-ms", 2000}}},
+      {"limits", limits_},
+      {"bounds", std::move(bounds)},
       {"platform", json::object{{"address", store_host_->address().ToString()},
                                 {"value-bytes", value_bytes_}}}};
   const std::string file = (folder_ / (name + ".json")).string();
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -84,6 +84,19 @@
   /// from now on.
   void SetValueBytes(std::size_t bytes) { value_bytes_ = bytes; }
 
+  /// Sets the memory and the descriptors that the settings state for the
+  /// machines of processes that start from now on.
+  void SetMachineLimits(std::size_t memory_megabytes, std::size_t descriptors) {
+    limits_ = {{"memory-mb", memory_megabytes}, {"max-fds", descriptors}};
+  }
+
+  /// Adds bounds to the settings of processes that start from now on.
+  void SetBounds(boost::json::object bounds) { bounds_ = std::move(bounds); }
+  /// Sets the list of services of the configurations that are written from now
+  /// on.
+  void SetServices(boost::json::array services) {
+    services_ = std::move(services);
+  }
   /// Starts a process in the role \p role with more \p flags.
   host Start(const std::string& role,
              const std::string& name,
@@ -138,6 +151,9 @@
   boost::json::array added_routes_;
   std::size_t value_bytes_ = 1'000'000;
   std::vector<std::unique_ptr<child_process>> processes_;
+  boost::json::object limits_;
+  boost::json::object bounds_;
+  boost::json::array services_;
   test_client client_;
 };
 
