Bound the memory and connections that clients can take

What callers saw: a process ended when clients sent bodies over the limit or left many bodies open. Cause: each body that was waited for held 64 KB for its next piece, nothing bounded the sum of all bodies, and connections were bounded by a fixed number only. When it is short, bodies wait, the least useful connection is closed, and bodies are refused with 503 before they are read. Callers can't take the connections of peers and load balancers.

--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -122,6 +122,8 @@
     }
     http_server_options options;
     options.listen = *settings.caller_listen;
+    options.resources = host_->resources();
+    options.serves_callers = true;
     options.on_unanswered = [this](const unanswered_bytes& unanswered) {
       LogUnanswered(unanswered);
     };
@@ -133,6 +135,7 @@
     }
     caller_server_ = std::move(*callers);
     options.listen = *settings.ready_listen;
+    options.serves_callers = false;
     options.on_unanswered = nullptr;
     auto readiness = http_server::Create(
         options, host_->traffic_threads(),
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -90,7 +90,8 @@
                        clock_.WallNow().time_since_epoch())
                        .count()),
       peers_(settings_.name),
-      crashes_(settings_.name, [this] { return LiveGateways(); }) {}
+      crashes_(settings_.name, [this] { return LiveGateways(); }),
+      resources_(server_resources::Make(CompleteLimits(settings_.machine))) {}
 
 host_runtime::~host_runtime() {
   control_.Stop();
@@ -167,6 +168,7 @@
 }
 
 void host_runtime::Start() {
+  options.resources = resources_;
   log_.Info("The host starts.",
             {{"role", role_ == host_role::gateway ? "gateway" : "worker"},
              {"zone", settings_.zone},
@@ -501,6 +503,7 @@
       co_await exchange.Send(ErrorResponse(call.error(), ""));
       co_return;
     }
+    ReportResources();
     http_response response;
     response.body = Encode(co_await store_->Serve(*call));
     co_await exchange.Send(std::move(response));
@@ -515,6 +518,23 @@
 
 asio::awaitable<void> host_runtime::HandleMetrics(http_exchange& exchange) {
   if (exchange.request().target != kMetricsPath) {
+void host_runtime::ReportResources() {
+  const resource_counts counts = resources_->counts();
+  if (counts == reported_resources_) {
+    return;
+  }
+  log_.Warning(
+      "Clients were turned away to save memory or connections.",
+      {{"held_bytes", resources_->held()},
+       {"limit_bytes", resources_->memory_limit()},
+       {"max_connections", resources_->max_connections(client_kind::callers)},
+       {"closed_for_memory", counts.closed_for_memory},
+       {"closed_for_connections", counts.closed_for_connections},
+       {"refused_bodies", counts.refused_bodies},
+       {"refused_connections", counts.refused_connections}});
+  reported_resources_ = counts;
+}
+
     co_await exchange.Send(ErrorResponse(
         error::Make(error_kind::not_found, "only /metrics is served here"),
         ""));
@@ -527,3 +547,6 @@
 }
 
 }  // namespace cardamomyard
+  for (const auto& [name, value] : resources_->Figures()) {
+    metrics_.Gauge(name).Set(value);
+  }
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -78,6 +78,10 @@
   thread_pool& traffic_threads() { return traffic_; }
   boost::asio::any_io_executor traffic();
   boost::asio::any_io_executor control();
+  /// What the HTTP servers of this process may hold together.
+  const std::shared_ptr<server_resources>& resources() const {
+    return resources_;
+  }
   std::int64_t incarnation() const { return incarnation_; }
 
   /// Records the start or end of a request or item at a server.
@@ -138,6 +142,8 @@
   std::unique_ptr<job_store> jobs_;
   peer_table peers_;
   backend_pool pool_;
+  /// Logs when clients were turned away since the last call.
+  void ReportResources();
   crash_attribution crashes_;
   std::unique_ptr<crash_monitor> crash_monitor_;
   std::unique_ptr<inventory> inventory_;
@@ -154,3 +160,5 @@
 }  // namespace cardamomyard
 
 #endif  // CARDAMOMYARD_GATEWAY_HOST_RUNTIME_H_
+  std::shared_ptr<server_resources> resources_;
+  resource_counts reported_resources_;
--- a/packages/gateway/src/gateway/host_settings.h
+++ b/packages/gateway/src/gateway/host_settings.h
@@ -52,4 +52,6 @@
 
 }  // namespace cardamomyard
 
+  /// Memory and descriptors of the machine, as far as the platform states them.
+  machine_limits machine;
 #endif  // CARDAMOMYARD_GATEWAY_HOST_SETTINGS_H_
--- a/packages/gateway/src/gateway/request_relay.cc
+++ b/packages/gateway/src/gateway/request_relay.cc
@@ -11,6 +11,8 @@
 
 // Limit for a response that is buffered completely before it is relayed.
 constexpr std::size_t kMaxBufferedResponseBytes = 16U << 20U;
+// A buffer exists twice while it grows.
+constexpr std::size_t kBodyCopies = 2;
 // A server sends the whole of a refusal at once.
 constexpr std::chrono::milliseconds kRefusalBodyTimeout{200};
 // A request that received more events in an attempt is no suspect when its
@@ -135,6 +137,8 @@
     }
     if ((*piece)->empty()) {
       break;
+  std::size_t held = 0;
+  bool has_memory = true;
     }
     if (body->size() + (*piece)->size() > kMaxBufferedResponseBytes) {
       body = Fail(
@@ -158,6 +162,16 @@
         error::Make(error_kind::backend_failed,
                     "an answer without length has no body"));
   }
+    const std::size_t more = kBodyCopies * (*piece)->size();
+    if (const auto taken = co_await request.exchange->HoldMemory(more);
+        !taken) {
+      has_memory = false;
+      body = Fail(error::Make(error_kind::backend_failed,
+                              "the host has no memory for the server's answer")
+                      .WithOutcome(outcome::ran));
+      break;
+    }
+    held += more;
   host_->pool().RecordSuccess(attempt.backend().id);
   RecordCompletion(request, attempt);
   http_response response;
@@ -165,7 +179,14 @@
   response.headers = host_->codec().FilterResponseHeaders(call.headers());
   response.body = std::move(*body);
   request.status = response.status;
+  if (!has_memory) {
+    // The server is not to blame, and another one would not help.
+    attempt.Cancel();
+    co_await Refuse(request, body.error());
+    co_return next_step::finished;
+  }
   request.first_byte = host_->time().Now();
+    request.exchange->ReleaseMemory(held);
   const result<void> sent =
       co_await request.exchange->Send(std::move(response));
   request.outcome_label = sent ? "answered" : "caller_left";
--- a/packages/net/include/cardamomyard/net.h
+++ b/packages/net/include/cardamomyard/net.h
@@ -14,6 +14,7 @@
 #include "src/net/http_server.h"
 #include "src/net/message_rules.h"
 #include "src/net/request_signer.h"
+#include "src/net/server_resources.h"
 #include "src/net/sleep.h"
 #include "src/net/target.h"
 #include "src/net/thread_pool.h"
--- a/packages/net/src/net/http_server.h
+++ b/packages/net/src/net/http_server.h
@@ -14,6 +14,7 @@
 #include "cardamomyard/base.h"
 #include "src/net/host_address.h"
 #include "src/net/http_message.h"
+#include "src/net/server_resources.h"
 #include "src/net/thread_pool.h"
 
 namespace cardamomyard {
@@ -37,6 +38,13 @@
   /// Reads the next piece of the body. \returns an empty string at the end, and
   /// an error when the caller's message ends early.
   virtual boost::asio::awaitable<result<std::string>> ReadSome() = 0;
+  /// Counts \p bytes of memory to this exchange until its end; ReadBody() does
+  /// so for the body itself. Waits a moment when the memory of the process is
+  /// short. \returns `overloaded` when it stays short.
+  virtual boost::asio::awaitable<result<void>> HoldMemory(
+      std::size_t bytes) = 0;
+  /// Ends the count of memory that HoldMemory() took.
+  virtual void ReleaseMemory(std::size_t bytes) = 0;
 
   virtual boost::asio::awaitable<result<void>> Send(http_response response) = 0;
   virtual boost::asio::awaitable<result<void>> StartStream(
@@ -92,6 +100,11 @@
   std::chrono::milliseconds read_timeout{20'000};
   std::chrono::seconds write_timeout{20};
   std::optional<tls_files> tls;
+  /// Shared by the servers of a process; unlimited when null.
+  std::shared_ptr<server_resources> resources;
+  /// Whether its clients are callers. They and other clients, such as peers and
+  /// load balancers, can't take each other's connections.
+  bool serves_callers = false;
   /// Called when a connection ends whose caller has sent bytes that get no
   /// complete answer. It runs on the thread of the connection.
   std::function<void(const unanswered_bytes&)> on_unanswered;
--- a/packages/net/src/net/server_state.h
+++ b/packages/net/src/net/server_state.h
@@ -22,6 +22,7 @@
 struct server_state {
   http_server_options options;
   http_handler handler;
+  std::shared_ptr<server_resources> resources;
   std::shared_ptr<boost::asio::ssl::context> tls;
   // May change while connections are open.
   std::atomic<std::size_t> max_header_bytes{0};
--- a/packages/node/src/node/entry/caller_server.cc
+++ b/packages/node/src/node/entry/caller_server.cc
@@ -96,6 +96,8 @@
   http_server_options options;
   options.listen = settings_->listen;
   options.tls = settings_->tls;
+  options.resources = context_->resources();
+  options.serves_callers = true;
   auto server = http_server::Create(
       options, context_->traffic(),
       [this](http_exchange& exchange) { return Serve(exchange); });
@@ -114,6 +116,7 @@
     answer.status = services_.ready() ? 200 : 503;
   } else if (target == "/metrics") {
     answer.headers.Set("Content-Type", "text/plain; version=0.0.4");
+    context_->UpdateResourceMetrics();
     answer.body = context_->metrics().Expose();
   } else if (target != "/healthz") {
     co_return false;
--- a/packages/node/src/node/entry/files_api.cc
+++ b/packages/node/src/node/entry/files_api.cc
@@ -1,5 +1,6 @@
 #include "src/node/entry/files_api.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <utility>
 
@@ -15,6 +16,10 @@
 namespace json = boost::json;
 namespace {
 
+// What arrives is copied into the line or the chunk that it belongs to.
+constexpr std::size_t kUploadCopies = 2;
+constexpr std::size_t kMaxUploadHolding =
+    kUploadCopies * (kMaxChunkBytes + kMaxLineBytes);
 constexpr std::string_view kOutputSuffix = "-output";
 constexpr std::string_view kErrorsSuffix = "-errors";
 
@@ -106,6 +111,7 @@
   }
   upload_splitter splitter(request.account);
   key_line_guard guard;
+  std::size_t held = 0;
   while (true) {
     result<std::string> piece = co_await exchange.ReadSome();
     if (!piece) {
@@ -114,6 +120,13 @@
     if (piece->empty()) {
       break;
     }
+    // An upload holds what it has received, up to a chunk and a line.
+    const std::size_t more =
+        std::min(kUploadCopies * piece->size(), kMaxUploadHolding - held);
+    if (result<void> taken = co_await exchange.HoldMemory(more); !taken) {
+      co_return Fail(taken.error());
+    }
+    held += more;
     if (const std::optional<error> withdrawn = KeyWithdrawnError(request)) {
       co_return Fail(*withdrawn);
     }
--- a/packages/node/src/node/internal_server.cc
+++ b/packages/node/src/node/internal_server.cc
@@ -39,6 +39,7 @@
   http_server_options options;
   options.listen = context_->settings().internal_listen;
   options.tls = context_->settings().internal_tls;
+  options.resources = context_->resources();
   auto server = http_server::Create(
       options, context_->traffic(),
       [this](http_exchange& exchange) { return Serve(exchange); });
@@ -72,6 +73,7 @@
     co_return;
   }
   if (request.target == "/metrics") {
+    context_->UpdateResourceMetrics();
     http_response answer = MetricsResponse(context_->metrics());
     co_await exchange.Send(std::move(answer));
     co_return;
--- a/packages/node/src/node/process_context.cc
+++ b/packages/node/src/node/process_context.cc
@@ -25,6 +25,7 @@
     : settings_(std::move(settings)),
       signer_(std::move(signer)),
       incarnation_(WallMilliseconds(clock_)),
+      resources_(server_resources::Make(CompleteLimits(settings_.machine))),
       traffic_(settings_.threads) {}
 
 process_context::~process_context() {
@@ -76,6 +77,12 @@
   bound_ = bound;
 }
 
+void process_context::UpdateResourceMetrics() {
+  for (const auto& [name, value] : resources_->Figures()) {
+    metrics_.Gauge(name).Set(value);
+  }
+}
+
 void process_context::StopThreads() {
   control_.Stop();
   background_.Stop();
--- a/packages/node/src/node/process_context.h
+++ b/packages/node/src/node/process_context.h
@@ -38,6 +38,10 @@
   http_client& internal_http() { return *internal_http_; }
   store_client& store() { return *store_; }
   thread_pool& traffic() { return traffic_; }
+  /// What the HTTP servers of this process may hold together.
+  const std::shared_ptr<server_resources>& resources() const {
+    return resources_;
+  }
   boost::asio::any_io_executor control();
   /// Thread for operators' requests, so that a large configuration delays
   /// neither traffic nor heartbeats.
@@ -50,6 +54,9 @@
   host_address advertised() const;
   void SetBoundAddress(const host_address& bound);
 
+  /// Sets the metrics of resources() to their present values.
+  void UpdateResourceMetrics();
+
   /// \returns whether a planned stop has begun.
   bool stopping() const { return stopping_; }
   void SetStopping() { stopping_ = true; }
@@ -71,6 +78,7 @@
   std::unique_ptr<store_client> store_;
   std::optional<host_address> bound_;
   std::atomic<bool> stopping_{false};
+  std::shared_ptr<server_resources> resources_;
   thread_pool traffic_;
   thread_pool background_{1};
   thread_pool control_{1};
--- a/packages/node/src/node/settings.cc
+++ b/packages/node/src/node/settings.cc
@@ -60,6 +60,14 @@
      "how long evidence of contact stays valid, 500 to 60000", flag_role::any},
     {"drain-timeout-ms", "60000",
      "maximum wait for running requests at a planned stop", flag_role::any},
+    {"memory-mb", "0",
+     "memory for this process in MB, which bounds what clients make it hold; 0 "
+     "takes the machine's",
+     flag_role::any},
+    {"max-descriptors", "0",
+     "descriptors for this process, which bound its connections; 0 takes its "
+     "limit",
+     flag_role::any},
     {"policy", "adaptive",
      "adaptive, or naive: the baseline of measurements, not for production",
      flag_role::any},
@@ -258,6 +266,10 @@
   common.internal_tls = flags.Tls("internal-", true);
   common.contact_window = flags.Milliseconds("contact-window-ms", 500, 60'000);
   common.drain_timeout = flags.Milliseconds("drain-timeout-ms", 0, 3'600'000);
+  common.machine.memory_bytes =
+      static_cast<std::size_t>(flags.Number("memory-mb", 0, 16'777'216)) << 20U;
+  common.machine.descriptors =
+      static_cast<std::size_t>(flags.Number("max-descriptors", 0, 16'777'216));
   return common;
 }
 
--- a/packages/node/src/node/settings.h
+++ b/packages/node/src/node/settings.h
@@ -45,6 +45,8 @@
   /// How long evidence of contact stays valid (W of docs/design.md).
   std::chrono::milliseconds contact_window{5000};
   std::chrono::milliseconds drain_timeout{60'000};
+  /// Zero takes what this machine has.
+  machine_limits machine;
 };
 
 struct entry_settings {
--- a/packages/node/test/admin_api_test.cc
+++ b/packages/node/test/admin_api_test.cc
@@ -29,6 +29,11 @@
   boost::asio::awaitable<result<std::string>> ReadSome() override {
     co_return std::string();
   }
+  boost::asio::awaitable<result<void>> HoldMemory(
+      std::size_t /*bytes*/) override {
+    co_return result<void>();
+  }
+  void ReleaseMemory(std::size_t /*bytes*/) override {}
   boost::asio::awaitable<result<void>> Send(http_response response) override {
     answer = std::move(response);
     co_return result<void>();
