Digests: name only accounts that changed, and add fields for servers and zones

Change: a digest names the accounts that changed within half a second or three digests, and all accounts once a second or when a peer is new. A peer that is heard for the first time counts from its first complete list. Optional fields for cold servers, evacuated zones and speeds of servers; they are empty unless used.

--- a/packages/gateway/src/gateway/quota_gate.cc
+++ b/packages/gateway/src/gateway/quota_gate.cc
@@ -1,8 +1,19 @@
 #include "src/gateway/quota_gate.h"
 
-#include <map>
+#include <algorithm>
+#include <utility>
 
 namespace cardamomyard {
+namespace {
+
+// A change is in every digest for this long, and in this many digests, so that
+// lost datagrams do no harm. Naming all accounts each time made up most of the
+// bytes between hosts.
+constexpr std::chrono::milliseconds kRepeatChanges{500};
+constexpr int kRepeatedDigests = 3;
+constexpr std::chrono::milliseconds kCompletePeriod{1000};
+
+}  // namespace
 
 quota_gate::quota_gate(const clock& time,
                        const peer_table& peers,
@@ -23,17 +34,34 @@
   if (digest.role != host_role::gateway) {
     return;
   }
+  // A new peer, or one that restarted, needs the totals of all accounts.
+  if (std::exchange(incarnations_[digest.host], digest.incarnation) !=
+      digest.incarnation) {
+    complete_sent_ = {};
+  }
   std::map<std::string, std::int64_t> totals;
   for (const account_use& use : digest.uses) {
     totals[use.account] = use.admitted;
   }
-  quota_.ApplyPeerTotals(digest.host, digest.incarnation, totals,
-                         clock_->Now());
+  quota_.ApplyPeerTotals(digest.host, digest.incarnation, totals, clock_->Now(),
+                         !digest.partial_uses);
 }
 
-void quota_gate::FillDigest(load_digest& digest) const {
+void quota_gate::FillDigest(load_digest& digest) {
+  const time_point now = clock_->Now();
+  const duration repeat = std::max<duration>(
+      kRepeatChanges, kRepeatedDigests * peers_->DigestInterval());
+  std::erase_if(changed_, [now, repeat](const auto& item) {
+    return now - item.second > repeat;
+  });
+  digest.partial_uses = now - complete_sent_ < kCompletePeriod;
+  if (!digest.partial_uses) {
+    complete_sent_ = now;
+  }
   for (const auto& [account, admitted] : quota_.admitted()) {
-    digest.uses.push_back({account, admitted});
+    if (!digest.partial_uses || changed_.contains(account)) {
+      digest.uses.push_back({account, admitted});
+    }
   }
 }
 
@@ -46,11 +74,16 @@
     const std::string& account) {
   const time_point now = clock_->Now();
   UpdateHostCounts(now);
-  return quota_.Admit(account, now);
+  const auto wait = quota_.Admit(account, now);
+  if (!wait) {
+    changed_[account] = now;
+  }
+  return wait;
 }
 
 void quota_gate::Refund(const std::string& account) {
   quota_.Refund(account, clock_->Now());
+  changed_[account] = clock_->Now();
 }
 
 }  // namespace cardamomyard
--- a/packages/gateway/src/gateway/quota_gate.h
+++ b/packages/gateway/src/gateway/quota_gate.h
@@ -2,6 +2,8 @@
 #define CARDAMOMYARD_GATEWAY_QUOTA_GATE_H_
 
 #include <chrono>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,8 +23,9 @@
 
   void Configure(const service_map& configuration);
   void OnDigest(const load_digest& digest);
-  /// Adds the number of requests admitted per account to this host's digest.
-  void FillDigest(load_digest& digest) const;
+  /// Adds the number of requests admitted per account to this host's digest: of
+  /// the accounts that have changed lately, and of all now and then.
+  void FillDigest(load_digest& digest);
 
   /// \returns nothing when the request is admitted, else the time after which
   /// to retry.
@@ -35,6 +38,9 @@
   const clock* clock_;
   const peer_table* peers_;
   fleet_quota quota_;
+  std::map<std::string, time_point> changed_;
+  time_point complete_sent_;
+  std::map<std::string, std::int64_t> incarnations_;  ///< Of the peers.
 };
 
 }  // namespace cardamomyard
--- a/packages/limits/src/limits/fleet_quota.cc
+++ b/packages/limits/src/limits/fleet_quota.cc
@@ -58,7 +58,11 @@
     const std::string& peer,
     std::int64_t incarnation,
     const std::map<std::string, std::int64_t>& admitted,
-    time_point now) {
+    time_point now,
+    bool complete) {
+  if (!complete && !peers_.contains(peer)) {
+    return;
+  }
   const auto [found, first_contact] = peers_.try_emplace(peer);
   peer_totals& totals = found->second;
   if (first_contact) {
--- a/packages/limits/src/limits/fleet_quota.h
+++ b/packages/limits/src/limits/fleet_quota.h
@@ -36,10 +36,13 @@
   /// this one.
   void SetHostCounts(int reachable, int known, time_point now);
   /// Applies the number of requests that a peer has admitted since it started.
+  /// \param complete  whether accounts that are not named have none. A peer
+  /// that is heard for the first time counts from its first complete list on.
   void ApplyPeerTotals(const std::string& peer,
                        std::int64_t incarnation,
                        const std::map<std::string, std::int64_t>& admitted,
-                       time_point now);
+                       time_point now,
+                       bool complete = true);
   void RemovePeer(const std::string& peer);
 
   /// \returns nothing if the request is admitted, otherwise the time until a
--- a/packages/limits/test/fleet_quota_test.cc
+++ b/packages/limits/test/fleet_quota_test.cc
@@ -160,5 +160,27 @@
   EXPECT_LE(fleet.admitted(), kMaxAdmittedInFiveSeconds);
 }
 
+// Digests mostly name only the accounts that changed. What a peer admitted
+// before it was first heard must not be charged when its account is named
+// later.
+TEST(FleetQuota, PartialListsChargeOnlyWhatIsNew) {
+  manual_clock clock;
+  fleet_quota quota(true);
+  quota.Configure({{"a", {kRate, kBurst}}, {"b", {kRate, kBurst}}},
+                  clock.Now());
+  const auto admitted = [&](const std::string& account) {
+    int count = 0;
+    while (!quota.Admit(account, clock.Now())) {
+      ++count;
+    }
+    return count;
+  };
+  quota.ApplyPeerTotals("peer", 1, {{"a", 30}}, clock.Now(), false);
+  quota.ApplyPeerTotals("peer", 1, {{"a", 30}, {"b", 500}}, clock.Now());
+  quota.ApplyPeerTotals("peer", 1, {{"a", 35}}, clock.Now(), false);
+  EXPECT_EQ(admitted("a"), 35);
+  EXPECT_EQ(admitted("b"), 40);
+}
+
 }  // namespace
 }  // namespace cardamomyard
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -127,6 +127,19 @@
   5: i64 age_ms
 }
 
+struct ColdServer {
+  1: string backend
+  2: i64 started_unix_ms
+  3: i64 remaining_ms
+}
+
+struct BackendSpeed {
+  1: string backend
+  2: i64 started_unix_ms
+  3: i32 thousandths
+  4: i32 observations
+}
+
 struct LoadDigest {
   1: string host
   2: string address
@@ -144,6 +157,11 @@
   14: list<CrashReport> crashes
   15: list<CrashVerdict> verdicts
   16: list<Departure> departures
+  17: optional list<ColdServer> cold_servers
+  18: optional list<string> evacuated_zones
+  19: optional i64 evacuation_revision
+  20: optional list<BackendSpeed> speeds
+  21: optional bool partial_uses
 }
 
 struct InventoryRecord {
--- a/packages/wire/src/wire/fleet_codec.cc
+++ b/packages/wire/src/wire/fleet_codec.cc
@@ -3,6 +3,7 @@
 #include <control_types.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "src/wire/age_codec.h"
 #include "src/wire/thrift_buffer.h"
@@ -23,6 +24,8 @@
 // Results of one page, each at most some hundred kilobytes of text.
 constexpr int kMaxPageBytes = 16 << 20;
 
+constexpr double kThousand = 1000;
+
 std::chrono::milliseconds ReadAge(std::int64_t milliseconds) {
   return std::chrono::milliseconds(std::max<std::int64_t>(0, milliseconds));
 }
@@ -104,6 +107,37 @@
         entry.age_ms = report.age.count();
         return entry;
       });
+  // Builds without these fields are sent nothing more, and neither are hosts of
+  // deployments that have no use for them.
+  if (!message.cold_servers.empty()) {
+    wire.__set_cold_servers(
+        ConvertList(message.cold_servers, [](const cold_report& report) {
+          thrift_wire::ColdServer entry;
+          entry.backend = report.backend;
+          entry.started_unix_ms = report.started_unix_ms;
+          entry.remaining_ms = report.remaining.count();
+          return entry;
+        }));
+  }
+  if (message.evacuation_revision > 0) {
+    wire.__set_evacuated_zones(message.evacuated_zones);
+    wire.__set_evacuation_revision(message.evacuation_revision);
+  }
+  if (message.partial_uses) {
+    wire.__set_partial_uses(true);
+  }
+  if (!message.speeds.empty()) {
+    wire.__set_speeds(
+        ConvertList(message.speeds, [](const speed_report& report) {
+          thrift_wire::BackendSpeed entry;
+          entry.backend = report.backend;
+          entry.started_unix_ms = report.started_unix_ms;
+          entry.thousandths =
+              static_cast<std::int32_t>(std::lround(report.speed * kThousand));
+          entry.observations = report.observations;
+          return entry;
+        }));
+  }
   return Serialize(wire);
 }
 
@@ -155,6 +189,19 @@
                                 entry.started_unix_ms, entry.revision,
                                 ReadAge(entry.age_ms)};
       });
+  message.cold_servers =
+      ConvertList(wire->cold_servers, [](const thrift_wire::ColdServer& entry) {
+        return cold_report{entry.backend, entry.started_unix_ms,
+                           ReadAge(entry.remaining_ms)};
+      });
+  message.partial_uses = wire->partial_uses;
+  message.evacuated_zones = wire->evacuated_zones;
+  message.evacuation_revision = wire->evacuation_revision;
+  message.speeds =
+      ConvertList(wire->speeds, [](const thrift_wire::BackendSpeed& entry) {
+        return speed_report{entry.backend, entry.started_unix_ms,
+                            entry.thousandths / kThousand, entry.observations};
+      });
   return message;
 }
 
--- a/packages/wire/src/wire/fleet_messages.h
+++ b/packages/wire/src/wire/fleet_messages.h
@@ -71,6 +71,24 @@
                          const departure_report&) = default;
 };
 
+/// \brief A backend server that is cold: it tolerates few requests until then.
+struct cold_report {
+  std::string backend;
+  std::int64_t started_unix_ms = 0;  ///< 0 when not known.
+  std::chrono::milliseconds remaining{0};
+  friend bool operator==(const cold_report&, const cold_report&) = default;
+};
+
+/// \brief How fast a backend server is, relative to the median of its service,
+/// from the sender's own requests.
+struct speed_report {
+  std::string backend;
+  std::int64_t started_unix_ms = 0;  ///< 0 when not known.
+  double speed = 1;
+  std::int32_t observations = 0;
+  friend bool operator==(const speed_report&, const speed_report&) = default;
+};
+
 enum class host_role : std::int32_t { gateway = 0, worker = 1 };
 
 /// \brief State of one host, sent to its peers by datagram.
@@ -90,11 +108,19 @@
   std::int64_t backend_revision = 0;
   std::vector<backend_load> loads;
   std::vector<account_use> uses;
+  /// Whether `uses` names only the accounts that have changed lately.
+  bool partial_uses = false;
   std::vector<batch_backlog> backlogs;
   event_age store_contact_age;
   std::vector<crash_report> crashes;
   std::vector<crash_verdict> verdicts;
   std::vector<departure_report> departures;
+  std::vector<cold_report> cold_servers;
+  /// Zones whose servers get no new work, as of a revision of the store; 0 when
+  /// the sender doesn't know.
+  std::vector<std::string> evacuated_zones;
+  std::int64_t evacuation_revision = 0;
+  std::vector<speed_report> speeds;
   friend bool operator==(const load_digest&, const load_digest&) = default;
 };
 
