--- a/packages/routing/include/cardamomyard/routing.h
+++ b/packages/routing/include/cardamomyard/routing.h
@@ -11,6 +11,7 @@
 #include "src/routing/candidate_set.h"
 #include "src/routing/crash_suspects.h"
 #include "src/routing/least_loaded_router.h"
+#include "src/routing/load_balance.h"
 #include "src/routing/prompt_prefix.h"
 #include "src/routing/retry_budget.h"
 #include "src/routing/retry_policy.h"
