leaving_server: measure from the first answer that announces

Cause, by its log: the server had no free slot and got no request for 1.36 s, so it gave no answer that announced; its first answer after that was the last one. That case is allowed: nobody can know before. Change: the bound, unchanged, counts from the first answer that announces.

--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -42,6 +42,11 @@
   /// From now on each answer says that the server leaves, or no longer does.
   void AnnounceLeaving(bool leaving) { leaving_ = leaving; }
 
+  /// \returns when the first answer was sent that says that the server leaves.
+  std::chrono::steady_clock::time_point announced() const { return announced_; }
+  /// From now on each answer says that the server is cold for \p time more.
+  void SayCold(std::chrono::milliseconds time) { cold_ = time; }
+
   /// Streams that begin from now on have \p count events.
   void SetEvents(int count) { events_ = count; }
 
@@ -61,7 +66,7 @@
 
  private:
   /// \returns the headers of each answer.
-  header_list AnswerHeaders(const std::string& request_id) const;
+  header_list AnswerHeaders(const std::string& request_id);
   /// Returns when the server is not silent.
   boost::asio::awaitable<void> WaitWhileSilent() const;
 
@@ -76,6 +81,9 @@
   std::atomic<bool> leaving_{false};
   std::atomic<std::chrono::steady_clock::time_point> last_request_{};
   std::atomic<std::chrono::steady_clock::time_point> silent_until_{};
+  std::atomic<std::chrono::steady_clock::time_point> announced_{
+      std::chrono::steady_clock::time_point::max()};
+  std::atomic<std::chrono::milliseconds> cold_{};
   std::mutex mutex_;
   std::map<std::string, int> runs_;
   std::vector<std::string> keys_;
