--- a/packages/fleet/include/cardamomyard/fleet.h
+++ b/packages/fleet/include/cardamomyard/fleet.h
@@ -9,11 +9,15 @@
 #include "src/fleet/backend_directory.h"
 #include "src/fleet/backend_pool.h"
 #include "src/fleet/batch_placement.h"
+#include "src/fleet/cold_admission.h"
 #include "src/fleet/crash_attribution.h"
 #include "src/fleet/evacuation.h"
+#include "src/fleet/host_ranks.h"
 #include "src/fleet/newest_peer.h"
 #include "src/fleet/online_placement.h"
 #include "src/fleet/peer_table.h"
+#include "src/fleet/server_speed.h"
 #include "src/fleet/service_map.h"
+#include "src/fleet/zone_evacuations.h"
 
 #endif  // CARDAMOMYARD_FLEET_H_
--- a/packages/fleet/src/fleet/backend_directory.cc
+++ b/packages/fleet/src/fleet/backend_directory.cc
@@ -58,7 +58,14 @@
   }
 }
 
-void backend_directory::Upsert(backend_entry entry, time_point /*now*/) {
+void backend_directory::Upsert(backend_entry entry, time_point now) {
+  // An entry that is listed again tells nothing new of the server.
+  const auto known = entries_.find(entry.id);
+  if (known == entries_.end() ||
+      known->second.entry.revision != entry.revision) {
+    RecordCold({entry.id, entry.started_unix_ms}, entry.cold_remaining,
+               cold_servers::source::server, now);
+  }
   departures_.EndReplaced(entry.instance(), [this](const std::string& id) {
     return entries_.contains(id);
   });
@@ -92,8 +99,22 @@
   return announced;
 }
 
+bool backend_directory::RecordCold(const cold_instance& server,
+                                   std::chrono::milliseconds remaining,
+                                   cold_servers::source reported_by,
+                                   time_point now) {
+  return limits_cold_servers_ &&
+         cold_.Record(server, remaining, reported_by, now);
+}
+
+bool backend_directory::IsCold(const backend_entry& server,
+                               time_point now) const {
+  return cold_.IsCold({server.id, server.started_unix_ms}, now);
+}
+
 bool backend_directory::TakesWork(const backend_entry& server) const {
-  return TakesNewWork(departures_.StateOf(server.instance()));
+  return evacuations_known_ && !evacuated_zones_.contains(server.zone) &&
+         TakesNewWork(departures_.StateOf(server.instance()));
 }
 
 leaving_counts backend_directory::CountLeaving() const {
@@ -122,12 +143,17 @@
     return current.second.usable_until && now >= *current.second.usable_until;
   });
   std::vector<usable_backend> usable;
+  if (!evacuations_known_) {
+    return usable;
+  }
   for (const auto& [id, current] : entries_) {
     const departure_state leaving =
         departures_.StateOf(current.entry.instance());
-    if (!current.entry.draining && TakesNewWork(leaving)) {
+    if (!current.entry.draining && TakesNewWork(leaving) &&
+        !evacuated_zones_.contains(current.entry.zone)) {
       usable.push_back({current.entry, current.usable_until.has_value(),
-                        leaving == departure_state::claimed});
+                        leaving == departure_state::claimed,
+                        IsCold(current.entry, now)});
     }
   }
   return usable;
--- a/packages/fleet/src/fleet/backend_directory.h
+++ b/packages/fleet/src/fleet/backend_directory.h
@@ -5,12 +5,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "cardamomyard/base.h"
 #include "cardamomyard/membership.h"
 #include "cardamomyard/net.h"
+#include "src/fleet/cold_admission.h"
 
 namespace cardamomyard {
 
@@ -25,6 +27,8 @@
   /// When this incarnation started, in ms of wall time; 0 when not known.
   std::int64_t started_unix_ms = 0;
   std::uint64_t revision = 0;  ///< Revision of the store.
+  /// How much longer it was cold when the entry was written.
+  std::chrono::milliseconds cold_remaining{0};
 
   backend_instance instance() const;
   friend bool operator==(const backend_entry&, const backend_entry&) = default;
@@ -38,6 +42,7 @@
   bool unregistered = false;
   /// Another host says that it leaves: the same holds.
   bool may_leave = false;
+  bool cold = false;
   friend bool operator==(const usable_backend&,
                          const usable_backend&) = default;
 };
@@ -78,6 +83,25 @@
   /// \returns the announcements that this host received from servers that are
   /// registered.
   std::vector<departure> AnnouncedLeaving(time_point now) const;
+  /// Lets servers count as cold by what they say of themselves.
+  void LimitColdServers() { limits_cold_servers_ = true; }
+  /// A server, or a host that asked it, said that it is cold.
+  /// \returns whether that is new.
+  bool RecordCold(const cold_instance& server,
+                  std::chrono::milliseconds remaining,
+                  cold_servers::source reported_by,
+                  time_point now);
+  bool IsCold(const backend_entry& server, time_point now) const;
+  cold_servers& cold() { return cold_; }
+
+  /// Until SetEvacuations() is called, no server may get new work.
+  void RequireEvacuations() { evacuations_known_ = false; }
+  void SetEvacuations(const std::set<std::string>& zones) {
+    evacuated_zones_ = zones;
+    evacuations_known_ = true;
+  }
+  bool evacuations_known() const { return evacuations_known_; }
+
   /// \returns whether \p server may get new work.
   bool TakesWork(const backend_entry& server) const;
   leaving_counts CountLeaving() const;
@@ -99,6 +123,10 @@
   std::optional<time_point> store_recovered_at_;
   std::map<std::string, state> entries_;
   departure_registry departures_;
+  bool limits_cold_servers_ = false;
+  cold_servers cold_;
+  bool evacuations_known_ = true;
+  std::set<std::string> evacuated_zones_;
 };
 
 }  // namespace cardamomyard
--- a/packages/fleet/src/fleet/batch_placement.cc
+++ b/packages/fleet/src/fleet/batch_placement.cc
@@ -45,6 +45,7 @@
 
 void batch_placement::Observe(const std::vector<backend_status>& servers,
                               time_point now) {
+  to_fill_.clear();
   for (const backend_status& server : servers) {
     server_history& history = history_[server.entry.id];
     history.last_observed = now;
@@ -69,42 +70,77 @@
   });
 }
 
+const std::vector<std::size_t>& batch_placement::ServersToFill(
+    const std::vector<backend_status>& servers) {
+  std::vector<std::size_t>& positions =
+      to_fill_[servers.empty() ? "" : servers.front().entry.service];
+  if (servers.size() > kMaxCompared && !positions.empty() &&
+      positions.back() < servers.size()) {
+    return positions;
+  }
+  positions.clear();
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    if (servers.size() > kMaxCompared) {
+      const top_hosts& ranks = ranks_.Of(servers[i].entry.id);
+      if (ranks.first != self_ && ranks.second != self_) {
+        continue;
+      }
+    }
+    positions.push_back(i);
+  }
+  return positions;
+}
+
+std::optional<int> batch_placement::SlotsToKeep(const backend_status& server,
+                                                const server_history* history,
+                                                int reserve,
+                                                time_point now) {
+  if (ranks_.Of(server.entry.id).first == self_) {
+    return reserve;
+  }
+  const auto started = last_start_.find(server.entry.id);
+  const bool recently_started =
+      started != last_start_.end() && now - started->second < kPropagationDelay;
+  // A primary worker that has items fills its server at once.
+  const bool primary_is_idle = history != nullptr && history->spare_since &&
+                               now - *history->spare_since >= kPropagationDelay;
+  if (recently_started || !primary_is_idle) {
+    return std::nullopt;
+  }
+  return reserve + kNonPrimaryMargin;
+}
+
 std::optional<backend_status> batch_placement::Choose(
     const std::vector<backend_status>& servers,
     const std::vector<std::string>& workers,
     int reserve,
-    time_point now) const {
+    time_point now,
+    const std::set<std::string>* zones) {
+  ranks_.SetHosts(workers);
   const backend_status* best = nullptr;
   int best_free = 0;
+  const std::vector<std::size_t>& positions = ServersToFill(servers);
   const bool all_may_leave =
-      std::all_of(servers.begin(), servers.end(),
-                  [](const auto& server) { return server.may_leave; });
-  for (const backend_status& server : servers) {
-    if (server.in_backoff || server.unregistered ||
+      std::all_of(positions.begin(), positions.end(),
+                  [&servers](std::size_t i) { return servers[i].may_leave; });
+  for (const std::size_t position : positions) {
+    const backend_status& server = servers[position];
+    if ((zones != nullptr && !zones->contains(server.entry.zone)) ||
+        server.in_backoff || server.unregistered || server.cold ||
         (server.may_leave && !all_may_leave)) {
       continue;
     }
-    const auto history = history_.find(server.entry.id);
-    const bool known = history != history_.end();
-    const int online =
-        known ? std::max(server.online, history->second.peak_online)
-              : server.online;
-    int kept = reserve;
-    const auto primary = RendezvousTop(workers, server.entry.id, 1);
-    if (primary.empty() || primary.front() != self_) {
-      kept += kNonPrimaryMargin;
-      const auto started = last_start_.find(server.entry.id);
-      const bool recently_started = started != last_start_.end() &&
-                                    now - started->second < kPropagationDelay;
-      // A primary worker that has items fills its server at once.
-      const bool primary_is_idle =
-          known && history->second.spare_since &&
-          now - *history->second.spare_since >= kPropagationDelay;
-      if (recently_started || !primary_is_idle) {
-        continue;
-      }
+    const auto found = history_.find(server.entry.id);
+    const server_history* history =
+        found != history_.end() ? &found->second : nullptr;
+    const std::optional<int> kept = SlotsToKeep(server, history, reserve, now);
+    if (!kept) {
+      continue;
     }
-    const int free = server.entry.slots - SlotsToLeave(server.entry, kept) -
+    const int online = history != nullptr
+                           ? std::max(server.online, history->peak_online)
+                           : server.online;
+    const int free = server.entry.slots - SlotsToLeave(server.entry, *kept) -
                      online - server.batch;
     if (free > best_free) {
       best = &server;
@@ -126,9 +162,12 @@
 }
 
 int batch_placement::ItemsToPreempt(const backend_status& server) const {
+  if (server.own_batch == 0) {
+    return 0;
+  }
   int excess =
       std::min(server.online + server.batch - server.entry.slots, server.batch);
-  if (excess <= 0 || server.own_batch == 0) {
+  if (excess <= 0) {
     return 0;
   }
   // Take one item at a time from the worker that has the most, in a tie from
--- a/packages/fleet/src/fleet/batch_placement.h
+++ b/packages/fleet/src/fleet/batch_placement.h
@@ -2,14 +2,18 @@
 #define CARDAMOMYARD_FLEET_BATCH_PLACEMENT_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "cardamomyard/base.h"
 #include "src/fleet/backend_pool.h"
+#include "src/fleet/host_ranks.h"
 #include "src/fleet/service_map.h"
 
 namespace cardamomyard {
@@ -34,6 +38,9 @@
 /// ten milliseconds. Each server therefore has a primary worker that fills its
 /// last slots, and the others leave a margin: otherwise two workers take the
 /// same slot, both stop their items, and both try again.
+///
+/// Of more than kMaxCompared servers, a worker fills only those for which it is
+/// the primary worker or the next one in rank.
 class batch_placement {
  public:
   /// Slots kept free on each server whose online requests have a tight latency
@@ -44,6 +51,7 @@
   /// Further slots that a worker leaves free on a server for which another
   /// worker is primary.
   static constexpr int kNonPrimaryMargin = 1;
+  static constexpr std::size_t kMaxCompared = 64;
 
   /// \param self  name of this worker.
   explicit batch_placement(std::string self);
@@ -57,12 +65,14 @@
 
   /// \param workers  names of the live workers, including this one.
   /// \param reserve  slots of each server that stay free.
+  /// \param zones  zones whose servers may get the item; null for all.
   /// \returns the server with the most free slots, or nothing.
   std::optional<backend_status> Choose(
       const std::vector<backend_status>& servers,
       const std::vector<std::string>& workers,
       int reserve,
-      time_point now) const;
+      time_point now,
+      const std::set<std::string>* zones = nullptr);
   /// An item was started on this server.
   void RecordStart(const std::string& backend, time_point now);
 
@@ -80,8 +90,21 @@
     time_point last_observed;
   };
 
+  /// \returns the positions of the servers that this worker may fill.
+  const std::vector<std::size_t>& ServersToFill(
+      const std::vector<backend_status>& servers);
+  /// \returns how many slots an item leaves free on \p server; nothing when
+  /// another worker fills it.
+  std::optional<int> SlotsToKeep(const backend_status& server,
+                                 const server_history* history,
+                                 int reserve,
+                                 time_point now);
+
   std::string self_;
-  std::map<std::string, server_history> history_;
+  host_ranks ranks_;
+  /// By service, since the last Observe().
+  std::map<std::string, std::vector<std::size_t>> to_fill_;
+  std::unordered_map<std::string, server_history> history_;
   std::map<std::string, time_point> last_start_;
 };
 
--- a/packages/fleet/src/fleet/peer_table.cc
+++ b/packages/fleet/src/fleet/peer_table.cc
@@ -82,6 +82,23 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(oldest);
 }
 
+std::optional<duration> peer_table::ReportAge(time_point now) const {
+  const duration interval = DigestInterval();
+  if (interval <= kMinDigestInterval) {
+    return std::nullopt;
+  }
+  duration total{0};
+  int reports = 0;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.host.role == host_role::gateway && IsLive(peer, now)) {
+      // A peer that has sent nothing for longer has nothing new to report.
+      total += std::min(interval, now - *peer.last_heard);
+      ++reports;
+    }
+  }
+  return total / std::max(1, reports);
+}
+
 bool peer_table::IsLive(const peer_state& peer, time_point now) const {
   return peer.last_heard && now - *peer.last_heard < LivenessTimeout();
 }
--- a/packages/fleet/src/fleet/peer_table.h
+++ b/packages/fleet/src/fleet/peer_table.h
@@ -63,6 +63,9 @@
   /// \returns the age of the oldest digest of a live peer: the known loads of
   /// other hosts are at most this old.
   std::chrono::milliseconds OldestDigestAge(time_point now) const;
+  /// \returns how old the known loads of the other gateways are on average;
+  /// nothing while digests are sent as often as they can be.
+  std::optional<duration> ReportAge(time_point now) const;
   bool IsLive(const peer_state& peer, time_point now) const;
   const std::map<std::string, peer_state>& peers() const { return peers_; }
   const peer_state* Find(const std::string& host) const;
--- a/packages/fleet/src/fleet/service_map.cc
+++ b/packages/fleet/src/fleet/service_map.cc
@@ -67,10 +67,42 @@
 
 const service_account* service_map::AccountOfKey(const std::string& key) const {
   const auto found = parts_.account_of_key.find(key);
-  if (found == parts_.account_of_key.end()) {
-    return nullptr;
+  return found == parts_.account_of_key.end() ? nullptr
+                                              : FindAccount(found->second);
+}
+
+const service_account* service_map::FindAccount(const std::string& name) const {
+  const auto found = account_index_.find(name);
+  return found == account_index_.end() ? nullptr
+                                       : &parts_.accounts[found->second];
+}
+
+double service_map::ColdRate(const std::string& service) const {
+  const auto found = parts_.cold_rates.find(service);
+  return found == parts_.cold_rates.end() ? 0 : found->second;
+}
+
+allowed_zones AllowedZones(
+    const service_route& route,
+    const service_account* account,
+    const std::map<std::string, std::string>& region_of_zone) {
+  static const std::set<std::string> everywhere;
+  const auto& by_account =
+      account != nullptr ? account->allowed_regions : everywhere;
+  if (route.allowed_regions.empty() && by_account.empty()) {
+    return std::nullopt;
+  }
+  const auto allows = [](const std::set<std::string>& regions,
+                         const std::string& region) {
+    return regions.empty() || regions.contains(region);
+  };
+  std::set<std::string> zones;
+  for (const auto& [zone, region] : region_of_zone) {
+    if (allows(route.allowed_regions, region) && allows(by_account, region)) {
+      zones.insert(zone);
+    }
   }
-  return &parts_.accounts[account_index_.at(found->second)];
+  return zones;
 }
 
 }  // namespace cardamomyard
--- a/packages/fleet/src/fleet/service_map.h
+++ b/packages/fleet/src/fleet/service_map.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -51,6 +52,8 @@
   /// For batch routes: tokens that one account may have waiting, 0 for no
   /// limit.
   std::int64_t waiting_token_cap = 0;
+  /// Regions whose servers may get its requests; all when empty.
+  std::set<std::string> allowed_regions;
 
   /// \returns whether a request may run more than once.
   bool repeatable() const {
@@ -66,6 +69,8 @@
   int priority = 0;
   /// Empty when the account has no quota.
   std::optional<account_limits> quota;
+  /// Regions whose servers may get its requests; all when empty.
+  std::set<std::string> allowed_regions;
   friend bool operator==(const service_account&,
                          const service_account&) = default;
 };
@@ -79,6 +84,17 @@
   friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
 
+/// \brief The zones whose servers may get a request; all when not set.
+using allowed_zones = std::optional<std::set<std::string>>;
+
+/// \returns the zones that both the route and the account allow.
+/// \param account  null for a request without a key.
+/// \param region_of_zone  of all zones; others are in no allowed region.
+allowed_zones AllowedZones(
+    const service_route& route,
+    const service_account* account,
+    const std::map<std::string, std::string>& region_of_zone);
+
 /// \brief The contents of a service_map.
 struct service_map_parts {
   std::int64_t version = 0;
@@ -88,6 +104,8 @@
   std::unordered_map<std::string, std::string> account_of_key;
   bool keys_required = false;
   caller_limits limits;
+  /// Requests a second that a cold server tolerates, by service.
+  std::map<std::string, double> cold_rates;
 };
 
 /// \brief Immutable snapshot of one version of the configuration.
@@ -99,6 +117,9 @@
   std::int64_t version() const { return parts_.version; }
   std::uint64_t revision() const { return parts_.revision; }
   const caller_limits& limits() const { return parts_.limits; }
+  /// \returns how many requests a second a cold server of the service
+  /// tolerates; 0 when it has no limit.
+  double ColdRate(const std::string& service) const;
   bool keys_required() const { return parts_.keys_required; }
   const std::vector<service_account>& accounts() const {
     return parts_.accounts;
@@ -109,6 +130,7 @@
   const service_route* MatchRoute(std::string_view host,
                                   std::string_view path) const;
   const service_route* FindRoute(std::string_view name) const;
+  const service_account* FindAccount(const std::string& name) const;
   /// \returns the account that holds the key.
   const service_account* AccountOfKey(const std::string& key) const;
 
--- a/packages/fleet/test/batch_placement_test.cc
+++ b/packages/fleet/test/batch_placement_test.cc
@@ -200,7 +200,7 @@
   backend_status server;
   server.entry = Server("s", 8);
   const manual_clock clock;
-  const batch_placement placement("a");
+  batch_placement placement("a");
   EXPECT_TRUE(placement.Choose({server}, {"a"}, 0, clock.Now()));
   server.in_backoff = true;
   EXPECT_FALSE(placement.Choose({server}, {"a"}, 0, clock.Now()));
--- a/packages/gateway/src/gateway/active_item.cc
+++ b/packages/gateway/src/gateway/active_item.cc
@@ -55,8 +55,10 @@
       };
   options.origin_of = &origin_of;
   options.request_name = input.id;
+  bool admitted = true;
   const std::function<bool()> may_send = [&] {
-    return host.MaySend(run->backend);
+    admitted = host.AdmitToBackend(run->backend);
+    return admitted;
   };
   options.may_send = &may_send;
   const auto mark_interrupted = [&](const error& cause) {
@@ -64,7 +66,8 @@
                             ? item_run_outcome::refused
                             : item_run_outcome::interrupted;
     // That a server which leaves ends is no failure of the item.
-    run_result.server_failed = !run->stopped && host.MaySend(run->backend);
+    run_result.server_failed =
+        !run->stopped && admitted && host.MaySend(run->backend);
     run_result.reason = run->stopped ? "stopped" : cause.message();
   };
 
--- a/packages/gateway/src/gateway/gateway.cc
+++ b/packages/gateway/src/gateway/gateway.cc
@@ -190,6 +190,7 @@
 
   bool IsReady() const {
     return !stopping_ &&
+           host_->current_inventory().backends().evacuations_known() &&
            host_->current_inventory().configuration() != nullptr &&
            host_->current_inventory().backends_listed();
   }
@@ -283,6 +284,8 @@
     request->configuration = configuration;
     request->route = route;
     request->account = account;
+    request->zones = AllowedZones(*route, configuration->FindAccount(account),
+                                  host_->settings().region_of_zone);
     request->caller = *caller;
     request->suspect.request =
         Hash64(*body, Hash64(exchange.request().target, Hash64(account)));
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -33,6 +33,10 @@
 
 // Bounds a digest, which travels in one datagram.
 constexpr std::size_t kMaxReportedDepartures = 100;
+constexpr std::size_t kMaxReportedColdServers = 200;
+// Speeds change seldom, so only one digest in this time carries them.
+constexpr std::chrono::milliseconds kSpeedReportPeriod{1000};
+constexpr std::size_t kMaxReportedSpeeds = 64;
 
 constexpr std::string_view kGatewayPrefix = "gateway ";
 constexpr std::string_view kWorkerPrefix = "worker ";
@@ -123,7 +127,23 @@
             digests().NotifyChanged();
             callbacks_.on_configuration(std::move(next));
           },
-          [this] { UpdateBackends(); }});
+          [this] { UpdateBackends(); },
+          [this] {
+            UpdateBackends();
+            digests().NotifyChanged();
+            metrics_.Gauge("cardamomyard_evacuated_zones")
+                .Set(static_cast<std::int64_t>(
+                    current_inventory().evacuations().zones().size()));
+          }});
+  if (settings_.bounds.evacuates_zones) {
+    inventory_->FollowEvacuations();
+  }
+  if (settings_.bounds.cold_servers) {
+    inventory_->backends().LimitColdServers();
+    if (role_ == host_role::gateway) {
+      cold_.emplace(settings_.name, *settings_.bounds.cold_servers);
+    }
+  }
   auto digests = gossip::Create(
       traffic_.At(0), settings_.internal_listen, settings_.seeds, peers_,
       clock_,
@@ -132,6 +152,7 @@
           [this](const load_digest& digest) { OnDigest(digest); },
           [this](const std::string& peer) {
             pool_.RemovePeer(peer);
+            speeds_.RemovePeer(peer);
             callbacks_.on_peer_silent(peer);
           }});
   if (!digests) {
@@ -147,6 +168,7 @@
       });
   http_server_options options;
   options.listen = settings_.internal_listen;
+  options.resources = resources_;
   auto server = http_server::Create(
       options, traffic_,
       [this](http_exchange& exchange) { return HandleInternal(exchange); });
@@ -168,7 +190,6 @@
 }
 
 void host_runtime::Start() {
-  options.resources = resources_;
   log_.Info("The host starts.",
             {{"role", role_ == host_role::gateway ? "gateway" : "worker"},
              {"zone", settings_.zone},
@@ -189,6 +210,9 @@
 
 void host_runtime::StartDraining() {
   draining_ = true;
+  if (cold_) {
+    cold_->Withdraw();
+  }
   gossip_->NotifyChanged();
 }
 
@@ -209,10 +233,20 @@
 
 void host_runtime::RecordHead(const backend_entry& backend,
                               const backend_response_head& head) {
-  if (!head.leaving || head.misdirected) {
+  if (head.misdirected) {
     return;
   }
   backend_directory& directory = current_inventory().backends();
+  if (directory.RecordCold({backend.id, backend.started_unix_ms},
+                           head.cold_remaining, cold_servers::source::server,
+                           clock_.Now())) {
+    LogCold(backend.id, head.cold_remaining, "answer");
+    UpdateBackends();
+    gossip_->NotifyChanged();
+  }
+  if (!head.leaving) {
+    return;
+  }
   const departure known{backend.instance(), std::chrono::milliseconds(0)};
   if (!head.is_signed) {
     // No such answer is passed on.
@@ -229,6 +263,80 @@
   }
 }
 
+bool host_runtime::AdmitToBackend(const backend_entry& backend) {
+  if (!MaySend(backend)) {
+    return false;
+  }
+  const time_point now = clock_.Now();
+  if (!settings_.bounds.cold_servers ||
+      !inventory_->backends().IsCold(backend, now)) {
+    return true;
+  }
+  const auto configuration = inventory_->configuration();
+  const double rate =
+      configuration ? configuration->ColdRate(backend.service) : 0;
+  if (rate <= 0) {
+    return true;
+  }
+  const bool admitted = cold_ && cold_->Admit(backend.id, rate, now);
+  metrics_
+      .Counter("cardamomyard_cold_requests_total",
+               {{"outcome", admitted ? "sent" : "held"}})
+      .Add();
+  return admitted;
+}
+
+void host_runtime::RecordColdServers(const load_digest& digest) {
+  bool any_new = false;
+  for (const cold_report& report : digest.cold_servers) {
+    if (current_inventory().backends().RecordCold(
+            {report.backend, report.started_unix_ms}, report.remaining,
+            cold_servers::source::peer, clock_.Now())) {
+      any_new = true;
+      LogCold(report.backend, report.remaining, digest.host);
+    }
+  }
+  if (any_new) {
+    UpdateBackends();
+  }
+}
+
+void host_runtime::LogCold(const std::string& backend,
+                           std::chrono::milliseconds remaining,
+                           std::string_view source) {
+  log_.Info("A backend server is cold.", {{"backend", backend},
+                                          {"remaining_ms", remaining.count()},
+                                          {"source", source}});
+}
+
+void host_runtime::UpdateColdLimit() {
+  if (!cold_) {
+    return;
+  }
+  const time_point now = clock_.Now();
+  std::vector<std::string> heard;
+  for (const peer_state* peer : peers_.LivePeers(host_role::gateway, now)) {
+    heard.push_back(peer->host.name);
+  }
+  cold_->SetGateways(std::move(heard),
+                     static_cast<std::size_t>(peers_.GatewayCounts(now).first),
+                     now);
+  metrics_.Gauge("cardamomyard_cold_backends")
+      .Set(static_cast<std::int64_t>(
+          current_inventory().backends().cold().Count(now)));
+}
+
+void host_runtime::UpdateSpeeds() {
+  speeds_.Refresh(clock_.Now());
+  std::int64_t slow = 0;
+  pool_.SetSpeeds([&](const backend_entry& backend) {
+    const double speed = speeds_.Of(backend.id, backend.started_unix_ms);
+    slow += speed < 1 ? 1 : 0;
+    return speed;
+  });
+  metrics_.Gauge("cardamomyard_slow_backends").Set(slow);
+}
+
 void host_runtime::RecordDepartures(const load_digest& digest) {
   std::vector<departure> claims;
   claims.reserve(digest.departures.size());
@@ -395,6 +503,9 @@
         });
     UpdateBackends();
     UpdateStorePeers();
+    ReportResources();
+    UpdateColdLimit();
+    UpdateSpeeds();
     if (UsesShortWatches()) {
       current_inventory().SetWatch(kShortWatchWait,
                                    read_freshness::linearizable);
@@ -409,6 +520,23 @@
   }
 }
 
+void host_runtime::ReportResources() {
+  const resource_counts counts = resources_->counts();
+  if (counts == reported_resources_) {
+    return;
+  }
+  log_.Warning(
+      "Clients were turned away to save memory or connections.",
+      {{"held_bytes", resources_->held()},
+       {"limit_bytes", resources_->memory_limit()},
+       {"max_connections", resources_->max_connections(client_kind::callers)},
+       {"closed_for_memory", counts.closed_for_memory},
+       {"closed_for_connections", counts.closed_for_connections},
+       {"refused_bodies", counts.refused_bodies},
+       {"refused_connections", counts.refused_connections}});
+  reported_resources_ = counts;
+}
+
 void host_runtime::UpdateStorePeers() {
   std::vector<host_address> reachable_peers;
   for (const host_role role : {host_role::worker, host_role::gateway}) {
@@ -477,6 +605,25 @@
          server.started_unix_ms, static_cast<std::int64_t>(server.revision),
          known.age});
   }
+  if (now - speeds_sent_ >= kSpeedReportPeriod) {
+    speeds_sent_ = now;
+    digest.speeds = speeds_.Reports(kMaxReportedSpeeds);
+  }
+  if (settings_.bounds.cold_servers) {
+    for (const auto& cold :
+         current_inventory().backends().cold().Remaining(now)) {
+      if (digest.cold_servers.size() == kMaxReportedColdServers) {
+        break;
+      }
+      digest.cold_servers.push_back(
+          {cold.server.id, cold.server.started_unix_ms, cold.left});
+    }
+  }
+  if (settings_.bounds.evacuates_zones) {
+    const zone_evacuations& known = current_inventory().evacuations();
+    digest.evacuated_zones.assign(known.zones().begin(), known.zones().end());
+    digest.evacuation_revision = static_cast<std::int64_t>(known.revision());
+  }
   callbacks_.fill_digest(digest);
 }
 
@@ -484,6 +631,13 @@
   pool_.SetPeerLoads(digest.host, digest.loads);
   crashes_.Merge(digest.crashes, digest.verdicts, clock_.Now());
   RecordDepartures(digest);
+  RecordColdServers(digest);
+  speeds_.SetReports(digest.host, digest.speeds, clock_.Now());
+  if (digest.evacuation_revision > 0) {
+    current_inventory().AdoptEvacuations(
+        {digest.evacuated_zones.begin(), digest.evacuated_zones.end()},
+        static_cast<std::uint64_t>(digest.evacuation_revision), digest.host);
+  }
   callbacks_.on_digest(digest);
 }
 
@@ -503,7 +657,6 @@
       co_await exchange.Send(ErrorResponse(call.error(), ""));
       co_return;
     }
-    ReportResources();
     http_response response;
     response.body = Encode(co_await store_->Serve(*call));
     co_await exchange.Send(std::move(response));
@@ -518,28 +671,14 @@
 
 asio::awaitable<void> host_runtime::HandleMetrics(http_exchange& exchange) {
   if (exchange.request().target != kMetricsPath) {
-void host_runtime::ReportResources() {
-  const resource_counts counts = resources_->counts();
-  if (counts == reported_resources_) {
-    return;
-  }
-  log_.Warning(
-      "Clients were turned away to save memory or connections.",
-      {{"held_bytes", resources_->held()},
-       {"limit_bytes", resources_->memory_limit()},
-       {"max_connections", resources_->max_connections(client_kind::callers)},
-       {"closed_for_memory", counts.closed_for_memory},
-       {"closed_for_connections", counts.closed_for_connections},
-       {"refused_bodies", counts.refused_bodies},
-       {"refused_connections", counts.refused_connections}});
-  reported_resources_ = counts;
-}
-
     co_await exchange.Send(ErrorResponse(
         error::Make(error_kind::not_found, "only /metrics is served here"),
         ""));
     co_return;
   }
+  for (const auto& [name, value] : resources_->Figures()) {
+    metrics_.Gauge(name).Set(value);
+  }
   http_response response;
   response.headers.Set("Content-Type", "text/plain; version=0.0.4");
   response.body = metrics_.Expose();
@@ -547,6 +686,3 @@
 }
 
 }  // namespace cardamomyard
-  for (const auto& [name, value] : resources_->Figures()) {
-    metrics_.Gauge(name).Set(value);
-  }
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cardamomyard/base.h"
@@ -74,14 +75,15 @@
   peer_table& peers() { return peers_; }
   backend_pool& pool() { return pool_; }
   crash_attribution& crashes() { return crashes_; }
+  server_speeds& speeds() { return speeds_; }
   gossip& digests() { return *gossip_; }
   thread_pool& traffic_threads() { return traffic_; }
-  boost::asio::any_io_executor traffic();
-  boost::asio::any_io_executor control();
   /// What the HTTP servers of this process may hold together.
   const std::shared_ptr<server_resources>& resources() const {
     return resources_;
   }
+  boost::asio::any_io_executor traffic();
+  boost::asio::any_io_executor control();
   std::int64_t incarnation() const { return incarnation_; }
 
   /// Records the start or end of a request or item at a server.
@@ -93,6 +95,13 @@
                   const backend_response_head& head);
   /// Applies changes of the servers that may get work to the pool.
   void UpdateBackends();
+  /// \returns the limit of the requests to cold servers; null where there is
+  /// none, and on hosts that send them none.
+  cold_admission* cold_limit() { return cold_ ? &*cold_ : nullptr; }
+  /// Counts a request that is about to be written against the limit of a cold
+  /// server.
+  /// \returns whether it may be sent.
+  bool AdmitToBackend(const backend_entry& backend);
   /// \returns whether a request that was placed at a server may still be sent.
   bool MaySend(const backend_entry& backend) const {
     return inventory_->backends().TakesWork(backend);
@@ -125,7 +134,16 @@
   void LogDeparture(const departure& known,
                     std::string_view source,
                     const std::string& host);
+  void RecordColdServers(const load_digest& digest);
+  void LogCold(const std::string& backend,
+               std::chrono::milliseconds remaining,
+               std::string_view source);
+  /// Tells the limit of cold servers which gateways this host hears.
+  void UpdateColdLimit();
+  void UpdateSpeeds();
   void FollowHosts();
+  /// Logs when clients were turned away since the last call.
+  void ReportResources();
 
   host_settings settings_;
   host_role role_;
@@ -142,16 +160,19 @@
   std::unique_ptr<job_store> jobs_;
   peer_table peers_;
   backend_pool pool_;
-  /// Logs when clients were turned away since the last call.
-  void ReportResources();
   crash_attribution crashes_;
+  server_speeds speeds_;
+  time_point speeds_sent_;
   std::unique_ptr<crash_monitor> crash_monitor_;
   std::unique_ptr<inventory> inventory_;
+  std::optional<cold_admission> cold_;
   std::unique_ptr<gossip> gossip_;
   std::unique_ptr<object_follower> host_follower_;
   std::unique_ptr<http_server> internal_server_;
   std::unique_ptr<http_server> metrics_server_;
   bool draining_ = false;
+  std::shared_ptr<server_resources> resources_;
+  resource_counts reported_resources_;
 
   thread_pool traffic_{1};
   thread_pool control_{1};
@@ -160,5 +181,3 @@
 }  // namespace cardamomyard
 
 #endif  // CARDAMOMYARD_GATEWAY_HOST_RUNTIME_H_
-  std::shared_ptr<server_resources> resources_;
-  resource_counts reported_resources_;
--- a/packages/gateway/src/gateway/host_settings.h
+++ b/packages/gateway/src/gateway/host_settings.h
@@ -3,11 +3,13 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "cardamomyard/base.h"
+#include "cardamomyard/fleet.h"
 #include "cardamomyard/net.h"
 
 namespace cardamomyard {
@@ -23,6 +25,11 @@
   /// Time within which a revoked key must stop working, even on a host that is
   /// cut off from the store; unset when such a host may go on serving.
   std::optional<std::chrono::milliseconds> key_revocation_bound;
+  /// How many requests all hosts together may send to a cold server; unset
+  /// where cold servers need no limit.
+  std::optional<cold_bounds> cold_servers;
+  /// Whether operators ask for zones to be evacuated.
+  bool evacuates_zones = false;
 
   friend bool operator==(const deployment_bounds&,
                          const deployment_bounds&) = default;
@@ -32,6 +39,8 @@
 struct host_settings {
   std::string name;
   std::string zone;
+  /// Region of each zone of the deployment.
+  std::map<std::string, std::string> region_of_zone;
   /// Addresses for callers and for the load balancer's readiness checks; set on
   /// gateways only.
   std::optional<host_address> caller_listen;
@@ -43,6 +52,8 @@
   /// Internal addresses of hosts that receive digests before they are known as
   /// peers, so that this host finds peers when the store does not answer.
   std::vector<host_address> seeds;
+  /// Memory and descriptors of the machine, as far as the platform states them.
+  machine_limits machine;
   /// Whether this is the first start of the whole deployment.
   bool first_start = false;
   deployment_bounds bounds;
@@ -52,6 +63,4 @@
 
 }  // namespace cardamomyard
 
-  /// Memory and descriptors of the machine, as far as the platform states them.
-  machine_limits machine;
 #endif  // CARDAMOMYARD_GATEWAY_HOST_SETTINGS_H_
--- a/packages/gateway/src/gateway/inventory.cc
+++ b/packages/gateway/src/gateway/inventory.cc
@@ -29,6 +29,61 @@
 void inventory::Start() {
   FollowConfiguration();
   FollowBackends();
+  if (evacuation_follower_) {
+    boost::asio::co_spawn(control_, evacuation_follower_->Run(),
+                          kEndOnException);
+  }
+}
+
+void inventory::FollowEvacuations() {
+  backends_.RequireEvacuations();
+  follower_events events;
+  events.on_snapshot = [this](const store_snapshot& snapshot) {
+    std::set<std::string> zones;
+    for (const store_record& record : snapshot.records) {
+      zones.insert(record.name);
+    }
+    PostToTraffic([this, zones = std::move(zones),
+                   revision = snapshot.revision]() mutable {
+      ApplyEvacuations(evacuations_.Replace(std::move(zones), revision),
+                       "store");
+    });
+  };
+  events.on_change = [this](const store_change& change,
+                            std::uint64_t revision) {
+    PostToTraffic(
+        [this, zone = change.record.name, removed = change.removed, revision] {
+          ApplyEvacuations(evacuations_.Set(zone, !removed, revision), "store");
+        });
+  };
+  events.on_contact = [](bool) {};
+  evacuation_follower_ = std::make_unique<object_follower>(
+      *store_, *clock_, codec_->zone_evacuation_kind(), std::move(events));
+}
+
+void inventory::AdoptEvacuations(std::set<std::string> zones,
+                                 std::uint64_t revision,
+                                 const std::string& peer) {
+  if (evacuation_follower_ && revision >= evacuations_.revision()) {
+    ApplyEvacuations(evacuations_.Adopt(std::move(zones), revision), peer);
+  }
+}
+
+void inventory::ApplyEvacuations(bool changed, std::string_view source) {
+  const bool is_first = !backends_.evacuations_known();
+  backends_.SetEvacuations(evacuations_.zones());
+  if (!changed && !is_first) {
+    return;
+  }
+  std::string names;
+  for (const std::string& zone : evacuations_.zones()) {
+    names += (names.empty() ? "" : ",") + zone;
+  }
+  log_.Info("The evacuated zones have changed.",
+            {{"zones", names},
+             {"source", source},
+             {"revision", evacuations_.revision()}});
+  callbacks_.on_evacuations();
 }
 
 void inventory::FollowConfiguration() {
@@ -140,6 +195,9 @@
   boost::asio::post(control_, [this, wait, freshness] {
     configuration_follower_->SetWatch(wait, freshness);
     backend_follower_->SetWatch(wait, freshness);
+    if (evacuation_follower_) {
+      evacuation_follower_->SetWatch(wait, freshness);
+    }
   });
 }
 
--- a/packages/gateway/src/gateway/inventory.h
+++ b/packages/gateway/src/gateway/inventory.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -29,6 +30,8 @@
   struct event_callbacks {
     std::function<void(std::shared_ptr<const service_map>)> on_configuration;
     std::function<void()> on_backends;
+    /// The set of evacuated zones has changed.
+    std::function<void()> on_evacuations;
   };
 
   inventory(object_store& store,
@@ -54,6 +57,13 @@
     return configuration_read_;
   }
   backend_directory& backends() { return backends_; }
+  /// Watches the evacuated zones too; to be called before Start().
+  void FollowEvacuations();
+  const zone_evacuations& evacuations() const { return evacuations_; }
+  /// Takes over the evacuated zones of a peer, if its revision is newer.
+  void AdoptEvacuations(std::set<std::string> zones,
+                        std::uint64_t revision,
+                        const std::string& peer);
   /// \returns whether the backend servers have been listed at least once.
   bool backends_listed() const { return backends_listed_; }
   /// \returns the time since the store last answered; nothing when it never
@@ -76,6 +86,7 @@
  private:
   void FollowConfiguration();
   void FollowBackends();
+  void ApplyEvacuations(bool changed, std::string_view source);
   /// \returns whether \p record, or a newer one, is in force.
   bool ApplyConfiguration(const store_record& record, std::string_view source);
   void ApplyBackendSnapshot(const store_snapshot& snapshot);
@@ -108,12 +119,15 @@
   // older revision are ignored.
   std::uint64_t adopted_revision_ = 0;
   bool backends_listed_ = false;
+  zone_evacuations evacuations_;
   bool in_contact_ = false;
   std::optional<time_point> last_contact_;
 
   std::optional<std::pair<std::chrono::milliseconds, read_freshness>> watch_;
   std::unique_ptr<object_follower> configuration_follower_;
   std::unique_ptr<object_follower> backend_follower_;
+  /// Null where operators evacuate no zones.
+  std::unique_ptr<object_follower> evacuation_follower_;
 };
 
 }  // namespace cardamomyard
--- a/packages/gateway/src/gateway/job_runner.cc
+++ b/packages/gateway/src/gateway/job_runner.cc
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds kMaxRetryDelay{1000};
 constexpr std::size_t kLoadPageBytes = 4U << 20U;
 
+// How long an item waits whose job may only use servers that are not free.
+constexpr std::chrono::milliseconds kRestrictedItemPause{100};
+
 }  // namespace
 
 job_runner::job_runner(host_runtime& host)
@@ -241,7 +244,7 @@
     }
   }
   for (const std::string& service : services) {
-    const auto servers = host_->pool().Status(service, now);
+    const auto& servers = host_->pool().Status(service, now);
     placement_.Observe(servers, now);
     StopExcess(servers);
   }
@@ -313,6 +316,7 @@
 
 std::optional<backend_status> job_runner::ChooseServer(
     const service_route& route,
+    const allowed_zones& zones,
     schedule_pass& pass) {
   const auto configuration = host_->current_inventory().configuration();
   for (const std::string& service :
@@ -320,14 +324,17 @@
     if (pass.full_services.contains(service)) {
       continue;
     }
-    auto server = placement_.Choose(
-        host_->pool().Status(service, pass.now), pass.workers,
-        batch_placement::Reserve(TightestObjective(*configuration, service)),
-        pass.now);
+    const int reserve =
+        batch_placement::Reserve(TightestObjective(*configuration, service));
+    const auto& servers = host_->pool().Status(service, pass.now);
+    auto server = placement_.Choose(servers, pass.workers, reserve, pass.now,
+                                    zones ? &*zones : nullptr);
     if (server) {
       return server;
     }
-    pass.full_services.insert(service);
+    if (!zones) {
+      pass.full_services.insert(service);
+    }
   }
   return std::nullopt;
 }
@@ -363,7 +370,17 @@
     return true;
   }
   job->route_missing = false;
-  const auto backend = ChooseServer(*route, pass);
+  const auto configuration = host_->current_inventory().configuration();
+  const allowed_zones zones = AllowedZones(
+      *route, configuration->FindAccount(job->stored.record.account),
+      host_->settings().region_of_zone);
+  const auto backend = ChooseServer(*route, zones, pass);
+  if (!backend && zones) {
+    // Other jobs of the route may use other servers.
+    item->running = false;
+    item->not_before = pass.now + kRestrictedItemPause;
+    return true;
+  }
   if (!backend) {
     item->running = false;
     pass.held_routes.insert(route->name);
--- a/packages/gateway/src/gateway/job_runner.h
+++ b/packages/gateway/src/gateway/job_runner.h
@@ -92,6 +92,7 @@
   bool HandleNextItem(schedule_pass& pass);
   /// \returns a server that can take an item of \p route now.
   std::optional<backend_status> ChooseServer(const service_route& route,
+                                             const allowed_zones& zones,
                                              schedule_pass& pass);
   /// Holds all batch routes whose services are full.
   void HoldFullRoutes(schedule_pass& pass) const;
--- a/packages/gateway/src/gateway/protocol.h
+++ b/packages/gateway/src/gateway/protocol.h
@@ -72,6 +72,8 @@
   /// False when it is a success without its server's signature. The head of a
   /// sound server always has one.
   bool is_signed = true;
+  /// How much longer the server says that it is cold.
+  std::chrono::milliseconds cold_remaining{0};
 };
 
 /// \brief Translates between the platform's messages and the system's types.
@@ -126,6 +128,8 @@
   virtual std::string configuration_name() const = 0;
   virtual std::string backend_kind() const = 0;
   virtual std::string evacuation_kind() const = 0;
+  /// One record for each zone that is to be evacuated, with the zone's name.
+  virtual std::string zone_evacuation_kind() const = 0;
   virtual result<service_map> ParseConfiguration(
       const store_record& record) const = 0;
   virtual result<backend_entry> ParseBackend(
--- a/packages/gateway/src/gateway/request_handler.cc
+++ b/packages/gateway/src/gateway/request_handler.cc
@@ -32,6 +32,11 @@
 // A later refusal would leave the caller less time to retry.
 constexpr int kSlotWaitDivisor = 6;
 constexpr std::chrono::milliseconds kPlacementPollInterval{12};
+// A host counts as lost after 0.9 s or more; listing the live ones for each
+// request would cost time in proportion to their number.
+constexpr std::chrono::milliseconds kHostRefreshInterval{20};
+// The time between two events is measured over at least this many.
+constexpr int kMinEventsForSpeed = 5;
 // Share of the latency objective that a request may spend in a server's queue.
 constexpr double kMaxQueueWaitShare = 0.7;
 // A request is refused when a server cannot be reached and this many have been
@@ -157,12 +162,7 @@
 asio::awaitable<result<chosen_backend>> request_handler::WaitForPlacement(
     request_state& request) {
   const auto objective = request.route->latency_objective;
-  std::vector<std::string> hosts{host_->settings().name};
-  for (const peer_state* peer :
-       host_->peers().LivePeers(host_role::gateway, host_->time().Now())) {
-    hosts.push_back(peer->host.name);
-  }
-  placement_.SetHosts(std::move(hosts));
+  RefreshHosts();
   const std::chrono::milliseconds max_queue_wait =
       Scale(objective, kMaxQueueWaitShare);
   const time_point give_up =
@@ -181,8 +181,9 @@
                       "no server had a free slot before the deadline")
               .WithRetryAfter(std::chrono::milliseconds(0)));
     }
-    placement chosen = placement_.Choose(host_->pool(), request.service,
-                                         request.tried, max_queue_wait, now);
+    placement chosen =
+        placement_.Choose(host_->pool(), request.service, request.tried,
+                          max_queue_wait, now, RulesOf(request));
     if (auto* place = std::get_if<chosen_backend>(&chosen)) {
       co_return std::move(*place);
     }
@@ -211,6 +212,28 @@
   }
 }
 
+placement_rules request_handler::RulesOf(const request_state& request) const {
+  // The configuration of the check before the request is written.
+  const auto configuration = host_->current_inventory().configuration();
+  return {request.zones ? &*request.zones : nullptr, host_->cold_limit(),
+          configuration->ColdRate(request.service)};
+}
+
+void request_handler::RefreshHosts() {
+  const time_point now = host_->time().Now();
+  if (now < hosts_due_) {
+    return;
+  }
+  hosts_due_ = now + kHostRefreshInterval;
+  std::vector<std::string> hosts{host_->settings().name};
+  for (const peer_state* peer :
+       host_->peers().LivePeers(host_role::gateway, now)) {
+    hosts.push_back(peer->host.name);
+  }
+  placement_.SetHosts(std::move(hosts));
+  placement_.SetReportAge(host_->peers().ReportAge(now));
+}
+
 bool request_handler::MustGoOn(const request_state& request) const {
   return request.route->repeatable() &&
          (request.head_sent || request.may_have_run);
@@ -327,6 +350,9 @@
                                              attempt->response().error());
     }
     RecordUnreachable(request, *attempt);
+    if (!attempt->admitted()) {
+      co_await SleepFor(kPlacementPollInterval);
+    }
     if (request.tried.size() < kMaxTriedServers || MustGoOn(request)) {
       co_return next_step::retry;
     }
@@ -339,10 +365,29 @@
     placement_.ObserveServiceTime(
         request.service,
         ToMilliseconds(host_->time().Now() - attempt->started()));
+    ObserveSpeed(request, *attempt);
   }
   co_return next;
 }
 
+void request_handler::ObserveSpeed(const request_state& request,
+                                   const server_attempt& attempt) {
+  if (request.outcome_label != "answered" || !attempt.last_event) {
+    return;
+  }
+  // Not until now, as a slow caller is not the server's fault.
+  const time_point end = *attempt.last_event;
+  const backend_entry& backend = attempt.backend();
+  const server_speeds::server from{backend.id, backend.started_unix_ms,
+                                   backend.service};
+  if (request.route->kind != route_kind::streaming) {
+    host_->speeds().Observe(from, end - attempt.started(), end);
+  } else if (attempt.first_event && attempt.events >= kMinEventsForSpeed) {
+    host_->speeds().Observe(
+        from, (end - *attempt.first_event) / (attempt.events - 1), end);
+  }
+}
+
 asio::awaitable<request_handler::next_step> request_handler::EndUnanswered(
     request_state& request,
     server_attempt& attempt) {
@@ -365,9 +410,11 @@
 void request_handler::RecordUnreachable(request_state& request,
                                         server_attempt& attempt) {
   --request.attempts;
-  if (!host_->MaySend(attempt.backend())) {
+  if (!attempt.admitted() || !host_->MaySend(attempt.backend())) {
+    // The server left, its zone is evacuated or its limit was used up after it
+    // was chosen. It does not count as tried, and is not chosen while that
+    // holds.
     host_->UpdateBackends();
-    // It is no longer chosen, and does not count as tried.
     request.tried.erase(attempt.backend().id);
   } else {
     host_->pool().RecordFailure(attempt.backend().id, host_->time().Now());
@@ -393,7 +440,7 @@
     placement chosen = placement_.Choose(
         host_->pool(), request.service, request.tried,
         Scale(request.route->latency_objective, kMaxQueueWaitShare),
-        host_->time().Now());
+        host_->time().Now(), RulesOf(request));
     auto* place = std::get_if<chosen_backend>(&chosen);
     if (place == nullptr) {
       if (std::holds_alternative<no_usable_backend>(chosen)) {
@@ -415,6 +462,9 @@
     }
     if (successor->unreachable()) {
       RecordUnreachable(request, *successor);
+      if (!successor->admitted()) {
+        co_await SleepFor(kPlacementPollInterval);
+      }
       continue;
     }
     if (IsRefusal(*successor)) {
--- a/packages/gateway/src/gateway/request_handler.h
+++ b/packages/gateway/src/gateway/request_handler.h
@@ -88,6 +88,15 @@
   /// Decides whether the request may be sent to a server, or is like those
   /// under which servers crash.
   bool MayReachServers(request_state& request);
+  /// Gives the names of the live gateways to the placement, if it has not had
+  /// them lately.
+  void RefreshHosts();
+  /// Counts a request that came to a full server, by whether this host knew of
+  /// a server with a free slot.
+  void CountFullServer(const request_state& request, const std::string& full);
+  void ObserveSpeed(const request_state& request,
+                    const server_attempt& attempt);
+  placement_rules RulesOf(const request_state& request) const;
   /// Chooses a server, waiting a bounded time for a free slot.
   boost::asio::awaitable<result<chosen_backend>> WaitForPlacement(
       request_state& request);
@@ -111,6 +120,7 @@
   host_runtime* host_;
   quota_gate* quotas_;
   online_placement placement_;
+  time_point hosts_due_;
   std::set<std::shared_ptr<request_state>> running_;
   std::optional<stop_schedule> stop_;
   stop_counts stopped_;
--- a/packages/gateway/src/gateway/request_relay.cc
+++ b/packages/gateway/src/gateway/request_relay.cc
@@ -56,6 +56,7 @@
     host_->pool().RecordFailure(attempt.backend().id, host_->time().Now());
   } else {
     host_->pool().RecordOverload(attempt.backend().id, host_->time().Now());
+    CountFullServer(request, attempt.backend().id);
   }
   if (MustGoOn(request)) {
     --request.attempts;
@@ -66,6 +67,21 @@
                                             {"attempt", request.attempts}});
 }
 
+void request_handler::CountFullServer(const request_state& request,
+                                      const std::string& full) {
+  const auto& servers =
+      host_->pool().Status(request.service, host_->time().Now());
+  const bool another_was_free =
+      std::any_of(servers.begin(), servers.end(), [&full](const auto& server) {
+        return server.entry.id != full && !server.in_backoff &&
+               server.online + server.batch < server.entry.slots;
+      });
+  host_->metrics()
+      .Counter("cardamomyard_full_server_total",
+               {{"another_was_free", another_was_free ? "yes" : "no"}})
+      .Add();
+}
+
 asio::awaitable<request_handler::next_step> request_handler::HandleResponse(
     request_state& request,
     server_attempt& attempt) {
@@ -121,6 +137,8 @@
   http_call& call = **attempt.response();
   call.LimitReads(request.deadline - host_->time().Now());
   result<std::string> body = std::string();
+  std::size_t held = 0;
+  bool has_memory = true;
   while (!request.caller_left) {
     const auto piece = co_await attempt.ReadSome(request.deadline);
     if (!piece) {
@@ -137,8 +155,6 @@
     }
     if ((*piece)->empty()) {
       break;
-  std::size_t held = 0;
-  bool has_memory = true;
     }
     if (body->size() + (*piece)->size() > kMaxBufferedResponseBytes) {
       body = Fail(
@@ -146,6 +162,16 @@
               .WithOutcome(outcome::ran));
       break;
     }
+    const std::size_t more = kBodyCopies * (*piece)->size();
+    if (const auto taken = co_await request.exchange->HoldMemory(more);
+        !taken) {
+      has_memory = false;
+      body = Fail(error::Make(error_kind::backend_failed,
+                              "the host has no memory for the server's answer")
+                      .WithOutcome(outcome::ran));
+      break;
+    }
+    held += more;
     *body += **piece;
   }
   if (request.caller_left) {
@@ -153,7 +179,14 @@
     request.exchange->Abort();
     co_return next_step::finished;
   }
+  if (!has_memory) {
+    // The server is not to blame, and another one would not help.
+    attempt.Cancel();
+    co_await Refuse(request, body.error());
+    co_return next_step::finished;
+  }
   if (!body) {
+    request.exchange->ReleaseMemory(held);
     co_return co_await HandleBrokenAttempt(request, attempt, body.error());
   }
   if (MayLackBody(call, *body)) {
@@ -162,16 +195,7 @@
         error::Make(error_kind::backend_failed,
                     "an answer without length has no body"));
   }
-    const std::size_t more = kBodyCopies * (*piece)->size();
-    if (const auto taken = co_await request.exchange->HoldMemory(more);
-        !taken) {
-      has_memory = false;
-      body = Fail(error::Make(error_kind::backend_failed,
-                              "the host has no memory for the server's answer")
-                      .WithOutcome(outcome::ran));
-      break;
-    }
-    held += more;
+  attempt.last_event = host_->time().Now();
   host_->pool().RecordSuccess(attempt.backend().id);
   RecordCompletion(request, attempt);
   http_response response;
@@ -179,14 +203,7 @@
   response.headers = host_->codec().FilterResponseHeaders(call.headers());
   response.body = std::move(*body);
   request.status = response.status;
-  if (!has_memory) {
-    // The server is not to blame, and another one would not help.
-    attempt.Cancel();
-    co_await Refuse(request, body.error());
-    co_return next_step::finished;
-  }
   request.first_byte = host_->time().Now();
-    request.exchange->ReleaseMemory(held);
   const result<void> sent =
       co_await request.exchange->Send(std::move(response));
   request.outcome_label = sent ? "answered" : "caller_left";
@@ -255,7 +272,10 @@
       events += event.raw;
       if (event.id) {
         request.last_event = event.id;
-        ++attempt.events;
+        attempt.last_event = host_->time().Now();
+        if (attempt.events++ == 0) {
+          attempt.first_event = attempt.last_event;
+        }
       }
       progressed |= IsProgress(event);
     }
--- a/packages/gateway/src/gateway/request_state.h
+++ b/packages/gateway/src/gateway/request_state.h
@@ -25,6 +25,7 @@
   std::shared_ptr<const service_map> configuration;
   const service_route* route = nullptr;
   std::string account;  ///< Empty on a route that is open to all.
+  allowed_zones zones;  ///< Where it may be sent.
   /// Whether it took a token of its account's quota.
   bool quota_charged = false;
   inbound_request caller;
--- a/packages/gateway/src/gateway/server_attempt.cc
+++ b/packages/gateway/src/gateway/server_attempt.cc
@@ -40,7 +40,11 @@
       origin_of_(std::move(origin_of)),
       may_send_([this] {
         // Again when the request is resent on a new connection.
-        if (cancelled_ || !host_->MaySend(backend())) {
+        if (cancelled_) {
+          return false;
+        }
+        admitted_ = host_->AdmitToBackend(backend());
+        if (!admitted_) {
           return false;
         }
         written_ = host_->time().Now();
--- a/packages/gateway/src/gateway/server_attempt.h
+++ b/packages/gateway/src/gateway/server_attempt.h
@@ -40,6 +40,8 @@
     return place_.expected_wait;
   }
   time_point started() const { return started_; }
+  /// \returns false when the request was held back just before it was sent.
+  bool admitted() const { return admitted_; }
   /// \returns when a byte of the request may first have been sent.
   std::optional<time_point> written() const { return written_; }
 
@@ -74,6 +76,9 @@
   void Cancel();
 
   int events = 0;  ///< Events received.
+  std::optional<time_point> first_event;
+  /// When the last event, or the end of an answer without events, arrived.
+  std::optional<time_point> last_event;
   /// Whether the server has been reported as silent.
   bool silence_reported = false;
   /// When the next move away from the silent server is tried.
@@ -98,6 +103,7 @@
   boost::asio::steady_timer changed_;
   std::weak_ptr<server_attempt> listener_;
   time_point started_;
+  bool admitted_ = true;
   std::optional<time_point> written_;
   std::optional<result<std::unique_ptr<http_call>>> response_;
   bool reading_ = false;
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -18,6 +18,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds kScheduleInterval{25};
+// Digests arrive more often the more peers there are. A pass after each of them
+// would take most of a worker's processor in a large fleet, so the time between
+// two passes grows with the peers.
+constexpr std::chrono::microseconds kPassSpacingPerPeer{100};
+constexpr std::chrono::milliseconds kMaxPassSpacing{20};
 // The cancellation of a job must reach its owner within about 3 s, even when a
 // watch lost its events.
 constexpr std::chrono::milliseconds kJobWatchTimeout{1500};
@@ -53,7 +58,7 @@
             [self](load_digest& digest) {
               digest.backlogs = self->runner_->Backlogs();
             },
-            [self](const load_digest&) { self->runner_->Schedule(); },
+            [self](const load_digest&) { self->SchedulePass(); },
             [](const std::string&) {},
             [self](const std::shared_ptr<const service_map>&) {
               self->runner_->UpdateLimits();
@@ -186,10 +191,41 @@
   asio::awaitable<void> RunScheduleLoop() {
     while (true) {
       co_await SleepFor(kScheduleInterval);
-      runner_->Schedule();
+      RunPass();
     }
   }
 
+  void RunPass() {
+    last_pass_ = host_->time().Now();
+    runner_->Schedule();
+  }
+
+  /// Runs a pass now, or a little later if one has only just run.
+  void SchedulePass() {
+    if (pass_pending_) {
+      return;
+    }
+    const time_point due =
+        last_pass_ +
+        std::min<duration>(kMaxPassSpacing,
+                           kPassSpacingPerPeer *
+                               static_cast<int>(host_->peers().peers().size()));
+    const time_point now = host_->time().Now();
+    if (now >= due) {
+      RunPass();
+      return;
+    }
+    pass_pending_ = true;
+    asio::co_spawn(host_->traffic(), RunPendingPass(due - now),
+                   kEndOnException);
+  }
+
+  asio::awaitable<void> RunPendingPass(duration delay) {
+    co_await SleepFor(delay);
+    pass_pending_ = false;
+    RunPass();
+  }
+
   asio::awaitable<void> RunLeaseLoop() {
     while (!host_->draining()) {
       if (runner_->has_open_jobs()) {
@@ -439,6 +475,8 @@
   std::optional<std::uint64_t> listed_revision_;
   part_log log_{"worker"};
   bool evacuating_ = false;
+  time_point last_pass_;
+  bool pass_pending_ = false;
   /// Hosts that the operator has marked for evacuation.
   std::set<std::string> hosts_to_evacuate_;
 };
--- a/standins/platform/platform_engine.cc
+++ b/standins/platform/platform_engine.cc
@@ -46,6 +46,11 @@
   return accounts_;
 }
 
+std::vector<std::chrono::steady_clock::time_point> platform_engine::arrivals() {
+  const std::lock_guard lock(mutex_);
+  return arrivals_;
+}
+
 void platform_engine::FallSilent(std::chrono::milliseconds time) {
   silent_until_ = std::chrono::steady_clock::now() + time;
 }
@@ -55,15 +60,15 @@
   headers.Set("Request-Id", request_id);
   if (leaving_) {
     headers.Set("Server-Leaving", "1");
+    announced_ = std::min(announced_.load(), std::chrono::steady_clock::now());
+  }
+  if (const auto cold = cold_.load(); cold.count() > 0) {
+    headers.Set("Cold-Ms", std::to_string(cold.count()));
   }
   return headers;
 }
 
 asio::awaitable<void> platform_engine::WaitWhileSilent() const {
-    announced_ = std::min(announced_.load(), std::chrono::steady_clock::now());
-  }
-  if (const auto cold = cold_.load(); cold.count() > 0) {
-    headers.Set("Cold-Ms", std::to_string(cold.count()));
   while (std::chrono::steady_clock::now() < silent_until_.load()) {
     co_await SleepFor(kEventTime);
   }
@@ -83,6 +88,10 @@
     co_return;
   }
   last_request_ = std::chrono::steady_clock::now();
+  {
+    const std::lock_guard lock(mutex_);
+    arrivals_.push_back(last_request_);
+  }
   if (running_ >= slots_ || Take(refusals_)) {
     refusal.status = 503;
     refusal.headers.Set("Not-Executed", "1");
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -56,6 +56,8 @@
   std::vector<std::string> keys();
   std::vector<std::string> accounts();
   int running() const { return running_; }
+  /// \returns when the requests arrived that were meant for this server.
+  std::vector<std::chrono::steady_clock::time_point> arrivals();
   /// \returns when the last request arrived that was meant for this server.
   std::chrono::steady_clock::time_point last_request() const {
     return last_request_;
@@ -79,15 +81,16 @@
   std::atomic<int> drops_{0};
   std::atomic<int> events_{kEvents};
   std::atomic<bool> leaving_{false};
-  std::atomic<std::chrono::steady_clock::time_point> last_request_{};
-  std::atomic<std::chrono::steady_clock::time_point> silent_until_{};
   std::atomic<std::chrono::steady_clock::time_point> announced_{
       std::chrono::steady_clock::time_point::max()};
   std::atomic<std::chrono::milliseconds> cold_{};
+  std::atomic<std::chrono::steady_clock::time_point> last_request_{};
+  std::atomic<std::chrono::steady_clock::time_point> silent_until_{};
   std::mutex mutex_;
   std::map<std::string, int> runs_;
   std::vector<std::string> keys_;
   std::vector<std::string> accounts_;
+  std::vector<std::chrono::steady_clock::time_point> arrivals_;
 };
 
 }  // namespace cardamomyard::standins
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -108,7 +108,7 @@
   json::object spec{
       {"version", version},
       {"routes", routes},
-      {"services", json::array{}},
+      {"services", services_},
       {"tenants", json::array{json::object{{"name", "acme"},
                                            {"api-keys", std::move(api_keys)},
                                            {"rate-per-s", size_.rate_per_s},
@@ -141,6 +141,8 @@
   }
   listen["control"] = control.ToString();
   json::array seeds(seeds_.begin(), seeds_.end());
+  json::object bounds{{"grace-s", 8}, {"drain-ms", 2000}};
+  bounds.insert(bounds_.begin(), bounds_.end());
   const json::object settings{
       {"node-name", name},
       {"zone", "a"},
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/service_host.h"
@@ -83,7 +84,6 @@
   /// Sets the size that the store allows a value, for processes that start
   /// from now on.
   void SetValueBytes(std::size_t bytes) { value_bytes_ = bytes; }
-
   /// Sets the memory and the descriptors that the settings state for the
   /// machines of processes that start from now on.
   void SetMachineLimits(std::size_t memory_megabytes, std::size_t descriptors) {
@@ -97,6 +97,7 @@
   void SetServices(boost::json::array services) {
     services_ = std::move(services);
   }
+
   /// Starts a process in the role \p role with more \p flags.
   host Start(const std::string& role,
              const std::string& name,
@@ -150,10 +151,10 @@
   std::vector<std::string> seeds_;
   boost::json::array added_routes_;
   std::size_t value_bytes_ = 1'000'000;
-  std::vector<std::unique_ptr<child_process>> processes_;
   boost::json::object limits_;
   boost::json::object bounds_;
   boost::json::array services_;
+  std::vector<std::unique_ptr<child_process>> processes_;
   test_client client_;
 };
 
