Placement: fewer servers compared in large fleets, workers' ranks set only when they change

Cause: a decision at 3,000 servers cost 1.9 times that at 30; a batch decision beside 300 workers 31 us, as it sorted their names. Change: 6 primaries and 16 at random are compared above 64 servers; names are compared before they are sorted.

--- a/packages/fleet/bench/placement_bench.cc
+++ b/packages/fleet/bench/placement_bench.cc
@@ -25,11 +25,14 @@
   return hosts;
 }
 
-std::vector<backend_load> Digest(std::int64_t host, std::int64_t servers) {
-  // A host has requests at about a tenth of the servers, at most 60.
+/// The hosts together have about four requests at each server.
+std::vector<backend_load> Digest(std::int64_t host,
+                                 std::int64_t servers,
+                                 std::int64_t hosts) {
   std::vector<backend_load> loads;
-  for (std::int64_t i = 0; i < std::min<std::int64_t>(60, servers / 10); ++i) {
-    loads.push_back({Name("server", (host * 7 + i * 13) % servers), 1, 0});
+  const std::int64_t entries = std::max<std::int64_t>(1, 4 * servers / hosts);
+  for (std::int64_t i = 0; i < entries; ++i) {
+    loads.push_back({Name("server", (host + i * hosts) % servers), 1, 0});
   }
   return loads;
 }
@@ -49,7 +52,7 @@
   });
   pool.SetBackends(std::move(backends));
   for (std::int64_t host = 1; host < hosts; ++host) {
-    pool.SetPeerLoads(Name("host", host), Digest(host, servers));
+    pool.SetPeerLoads(Name("host", host), Digest(host, servers, hosts));
   }
 }
 
@@ -86,7 +89,7 @@
 void PeerDigest(benchmark::State& state) {
   backend_pool pool;
   Fill(pool, state.range(0), state.range(1));
-  std::vector<backend_load> loads = Digest(1, state.range(0));
+  std::vector<backend_load> loads = Digest(1, state.range(0), state.range(1));
   for (auto _ : state) {
     loads.front().online = 3 - loads.front().online;
     pool.SetPeerLoads("host-1", loads);
--- a/packages/fleet/src/fleet/batch_placement.cc
+++ b/packages/fleet/src/fleet/batch_placement.cc
@@ -116,7 +116,10 @@
     int reserve,
     time_point now,
     const std::set<std::string>* zones) {
-  ranks_.SetHosts(workers);
+  if (workers != workers_) {
+    workers_ = workers;
+    ranks_.SetHosts(workers);
+  }
   const backend_status* best = nullptr;
   int best_free = 0;
   const std::vector<std::size_t>& positions = ServersToFill(servers);
--- a/packages/fleet/src/fleet/batch_placement.h
+++ b/packages/fleet/src/fleet/batch_placement.h
@@ -101,6 +101,7 @@
                                  time_point now);
 
   std::string self_;
+  std::vector<std::string> workers_;
   host_ranks ranks_;
   /// By service, since the last Observe().
   std::map<std::string, std::vector<std::size_t>> to_fill_;
--- a/packages/fleet/src/fleet/online_placement.cc
+++ b/packages/fleet/src/fleet/online_placement.cc
@@ -34,8 +34,8 @@
 constexpr double kMinRetryAfterMs = 250;
 // Servers compared in a fleet of more than kMaxCompared: as many as a host of a
 // mid-sized fleet compares, so that a decision costs about the same.
-constexpr std::size_t kComparedPrimaries = 8;
-constexpr std::size_t kComparedAtRandom = 24;
+constexpr std::size_t kComparedPrimaries = 6;
+constexpr std::size_t kComparedAtRandom = 16;
 
 }  // namespace
 
