Inventories between hosts: only what has changed; usable servers only when they change

Cause, by reading: a host that is behind fetched the whole inventory of a peer, about 1 MB and 3,000 parsed entries, after each change of a server; and five times a second, and after each of several changes that came together, every host built the list of usable servers anew. Change: the host names its revisions, and is sent the newer records and the names of those removed since (removal_log); the list is built once for changes that come together, and in between only while it can change with time.

--- a/packages/fleet/src/fleet/backend_directory.cc
+++ b/packages/fleet/src/fleet/backend_directory.cc
@@ -119,8 +119,12 @@
 
 leaving_counts backend_directory::CountLeaving() const {
   leaving_counts counts;
+  const bool none_leaves = departures_.empty();
   for (const auto& [id, current] : entries_) {
     counts.by_entry += current.entry.draining ? 1 : 0;
+    if (none_leaves) {
+      continue;
+    }
     switch (departures_.StateOf(current.entry.instance())) {
       case departure_state::none:
         break;
@@ -138,6 +142,13 @@
   return counts;
 }
 
+bool backend_directory::ChangesWithTime(time_point now) const {
+  return cold_.Count(now) > 0 || !departures_.empty() ||
+         std::any_of(entries_.begin(), entries_.end(), [](const auto& current) {
+           return current.second.usable_until.has_value();
+         });
+}
+
 std::vector<usable_backend> backend_directory::Usable(time_point now) {
   std::erase_if(entries_, [now](const auto& current) {
     return current.second.usable_until && now >= *current.second.usable_until;
@@ -146,9 +157,12 @@
   if (!evacuations_known_) {
     return usable;
   }
+  usable.reserve(entries_.size());
+  const bool none_leaves = departures_.empty();
   for (const auto& [id, current] : entries_) {
     const departure_state leaving =
-        departures_.StateOf(current.entry.instance());
+        none_leaves ? departure_state::none
+                    : departures_.StateOf(current.entry.instance());
     if (!current.entry.draining && TakesNewWork(leaving) &&
         !evacuated_zones_.contains(current.entry.zone)) {
       usable.push_back({current.entry, current.usable_until.has_value(),
--- a/packages/fleet/src/fleet/backend_directory.h
+++ b/packages/fleet/src/fleet/backend_directory.h
@@ -106,6 +106,8 @@
   bool TakesWork(const backend_entry& server) const;
   leaving_counts CountLeaving() const;
 
+  /// \returns whether Usable() may change without news, as time passes.
+  bool ChangesWithTime(time_point now) const;
   /// \returns servers that neither leave nor are unregistered for longer than
   /// the grace period.
   std::vector<usable_backend> Usable(time_point now);
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
+#include <charconv>
 #include <string_view>
 #include <utility>
 
@@ -67,6 +68,16 @@
   return host_entry{record.name, *address, role};
 }
 
+/// \returns the revision in a header; 0 when there is none.
+std::uint64_t ReadRevision(const header_list& headers, std::string_view name) {
+  const std::string text = headers.Get(name).value_or("");
+  std::uint64_t revision = 0;
+  const auto [end, status] =
+      std::from_chars(text.data(), text.data() + text.size(), revision);
+  return status == std::errc() && end == text.data() + text.size() ? revision
+                                                                   : 0;
+}
+
 }  // namespace
 
 result<std::unique_ptr<host_runtime>> host_runtime::Create(
@@ -127,7 +138,7 @@
             digests().NotifyChanged();
             callbacks_.on_configuration(std::move(next));
           },
-          [this] { UpdateBackends(); },
+          [this] { UpdateBackendsSoon(); },
           [this] {
             UpdateBackends();
             digests().NotifyChanged();
@@ -368,6 +379,16 @@
                        {"age_ms", known.age.count()}});
 }
 
+void host_runtime::UpdateBackendsSoon() {
+  // A watch reports many changes at once, each in its own call.
+  if (!std::exchange(update_pending_, true)) {
+    asio::post(traffic(), [this] {
+      update_pending_ = false;
+      UpdateBackends();
+    });
+  }
+}
+
 void host_runtime::UpdateBackends() {
   backend_directory& directory = current_inventory().backends();
   pool_.SetBackends(directory.Usable(clock_.Now()));
@@ -473,6 +494,10 @@
     options.reuse_connection = true;
     http_request request;
     request.target = kInventoryPath;
+    request.headers.Set(kConfigurationSince, std::to_string(own.configuration));
+    if (current_inventory().backends_listed()) {
+      request.headers.Set(kBackendsSince, std::to_string(own.backends));
+    }
     const auto response =
         co_await http_->Fetch(peer.host.address, request, options);
     if (!response || response->status != 200) {
@@ -501,7 +526,14 @@
         [this](const std::string& host) {
           return host == settings_.name || peers_.Find(host) != nullptr;
         });
-    UpdateBackends();
+    // With thousands of servers this costs milliseconds, and mostly nothing has
+    // changed. Once more after a time has passed, such as that of a cold
+    // server.
+    const bool changes =
+        current_inventory().backends().ChangesWithTime(clock_.Now());
+    if (std::exchange(backends_change_, changes) || changes) {
+      UpdateBackends();
+    }
     UpdateStorePeers();
     ReportResources();
     UpdateColdLimit();
@@ -645,7 +677,10 @@
   const std::string& target = exchange.request().target;
   if (target == kInventoryPath) {
     http_response response;
-    response.body = Encode(current_inventory().Snapshot());
+    const header_list& asked = exchange.request().headers;
+    response.body = Encode(
+        current_inventory().Snapshot(ReadRevision(asked, kConfigurationSince),
+                                     ReadRevision(asked, kBackendsSince)));
     co_await exchange.Send(std::move(response));
     co_return;
   }
--- a/packages/gateway/src/gateway/host_runtime.h
+++ b/packages/gateway/src/gateway/host_runtime.h
@@ -141,6 +141,8 @@
   /// Tells the limit of cold servers which gateways this host hears.
   void UpdateColdLimit();
   void UpdateSpeeds();
+  /// Like UpdateBackends(), once for all changes that are being delivered.
+  void UpdateBackendsSoon();
   void FollowHosts();
   /// Logs when clients were turned away since the last call.
   void ReportResources();
@@ -171,6 +173,9 @@
   std::unique_ptr<http_server> internal_server_;
   std::unique_ptr<http_server> metrics_server_;
   bool draining_ = false;
+  bool update_pending_ = false;
+  /// Whether the usable servers changed with time when last looked at.
+  bool backends_change_ = true;
   std::shared_ptr<server_resources> resources_;
   resource_counts reported_resources_;
 
--- a/packages/gateway/src/gateway/internal_paths.h
+++ b/packages/gateway/src/gateway/internal_paths.h
@@ -5,8 +5,11 @@
 
 /// Calls between hosts of the system. Bodies of requests and responses are
 /// Thrift compact messages; /metrics is text.
-/// Returns an inventory_snapshot.
+/// Returns an inventory_snapshot: only what is newer than the revisions in the
+/// headers, as far as the host still knows what was removed since.
 inline constexpr const char* kInventoryPath = "/internal/inventory";
+inline constexpr const char* kConfigurationSince = "Configuration-Since";
+inline constexpr const char* kBackendsSince = "Backends-Since";
 /// Takes a job_page_request and returns a job_page.
 inline constexpr const char* kJobPagePath = "/internal/job-page";
 /// Takes the id of a batch job, as text, whose record has changed in the store.
--- a/packages/gateway/src/gateway/inventory.cc
+++ b/packages/gateway/src/gateway/inventory.cc
@@ -165,6 +165,7 @@
     backend_revision_ = snapshot.revision;
   }
   backend_records_ = std::move(listed_records);
+  removed_backends_.Reset(backend_revision_);
   backends_.Replace(std::move(entries), clock_->Now());
   backends_listed_ = true;
   callbacks_.on_backends();
@@ -281,7 +282,9 @@
 void inventory::RemoveBackend(const std::string& name, std::uint64_t revision) {
   log_.Info("The entry of a backend server was removed.",
             {{"backend", name}, {"revision", revision}});
-  backend_records_.erase(name);
+  if (backend_records_.erase(name) > 0) {
+    removed_backends_.Add(name, revision);
+  }
   reported_entries_.erase(name);
   backends_.Remove(name, clock_->Now());
 }
@@ -297,19 +300,30 @@
                                                                *last_contact_);
 }
 
-inventory_snapshot inventory::Snapshot() const {
+inventory_snapshot inventory::Snapshot(std::uint64_t configuration_since,
+                                       std::uint64_t backends_since) const {
   inventory_snapshot snapshot;
-  if (configuration_) {
+  if (configuration_ && configuration_record_.revision > configuration_since) {
     snapshot.configuration = configuration_record_.value;
     snapshot.configuration_revision =
         static_cast<std::int64_t>(configuration_record_.revision);
   }
   snapshot.backend_revision = static_cast<std::int64_t>(backend_revision_);
+  snapshot.store_contact_age = store_age();
+  std::uint64_t newer_than = 0;
+  if (backends_since > 0) {
+    if (auto removed = removed_backends_.Since(backends_since)) {
+      newer_than = backends_since;
+      snapshot.backends_since = static_cast<std::int64_t>(backends_since);
+      snapshot.removed_backends = std::move(*removed);
+    }
+  }
   for (const auto& [name, record] : backend_records_) {
-    snapshot.backends.push_back(
-        {name, record.value, static_cast<std::int64_t>(record.revision)});
+    if (record.revision > newer_than) {
+      snapshot.backends.push_back(
+          {name, record.value, static_cast<std::int64_t>(record.revision)});
+    }
   }
-  snapshot.store_contact_age = store_age();
   return snapshot;
 }
 
@@ -325,29 +339,66 @@
   if (revision <= backend_revision_) {
     return;
   }
-  std::vector<backend_entry> entries;
-  backend_records_.clear();
-  for (const inventory_record& peer_record : snapshot.backends) {
-    const store_record record{peer_record.name, peer_record.value,
-                              static_cast<std::uint64_t>(peer_record.revision)};
-    backend_records_[peer_record.name] = record;
-    if (auto entry = codec_->ParseBackend(record)) {
-      entries.push_back(std::move(*entry));
-    }
+  const auto since =
+      static_cast<std::uint64_t>(snapshot.backends_since.value_or(0));
+  if (since > backend_revision_) {
+    // Changes to a state that this host does not have.
+    return;
   }
   log_.Info("The backend servers were adopted from a peer.",
             {{"peer", peer},
-             {"usable", entries.size()},
+             {"records", snapshot.backends.size()},
+             {"removed", snapshot.removed_backends.size()},
+             {"since", since},
              {"revision", revision},
              {"own_revision", backend_revision_},
              {"peer_store_age_ms", snapshot.store_contact_age
                                        ? snapshot.store_contact_age->count()
                                        : -1}});
+  if (snapshot.backends_since) {
+    AdoptBackendChanges(snapshot);
+  } else {
+    AdoptAllBackends(snapshot);
+  }
   backend_revision_ = revision;
   adopted_revision_ = revision;
-  backends_.Replace(std::move(entries), clock_->Now());
   backends_listed_ = true;
   callbacks_.on_backends();
 }
 
+void inventory::AdoptAllBackends(const inventory_snapshot& snapshot) {
+  std::vector<backend_entry> entries;
+  backend_records_.clear();
+  for (const inventory_record& peer_record : snapshot.backends) {
+    const store_record record{peer_record.name, peer_record.value,
+                              static_cast<std::uint64_t>(peer_record.revision)};
+    backend_records_[peer_record.name] = record;
+    if (auto entry = codec_->ParseBackend(record)) {
+      entries.push_back(std::move(*entry));
+    }
+  }
+  removed_backends_.Reset(
+      static_cast<std::uint64_t>(snapshot.backend_revision));
+  backends_.Replace(std::move(entries), clock_->Now());
+}
+
+void inventory::AdoptBackendChanges(const inventory_snapshot& snapshot) {
+  const auto revision = static_cast<std::uint64_t>(snapshot.backend_revision);
+  for (const std::string& name : snapshot.removed_backends) {
+    if (backend_records_.contains(name)) {
+      RemoveBackend(name, revision);
+    }
+  }
+  // After the removals, as a name may have come back.
+  for (const inventory_record& changed : snapshot.backends) {
+    const store_record record{changed.name, changed.value,
+                              static_cast<std::uint64_t>(changed.revision)};
+    const auto known = backend_records_.find(record.name);
+    if (known == backend_records_.end() ||
+        known->second.revision < record.revision) {
+      ApplyBackend(record);
+    }
+  }
+}
+
 }  // namespace cardamomyard
--- a/packages/gateway/src/gateway/inventory.h
+++ b/packages/gateway/src/gateway/inventory.h
@@ -77,9 +77,11 @@
   /// whether it may report changes late. Holds for the running watches too.
   void SetWatch(std::chrono::milliseconds wait, read_freshness freshness);
 
-  /// \returns the configuration and the backend servers, for a peer that cannot
-  /// reach the store.
-  inventory_snapshot Snapshot() const;
+  /// \returns the configuration and the backend servers, for a peer that knows
+  /// them as of these revisions, 0 if not at all. Of the servers, only what has
+  /// changed since, if that is still known.
+  inventory_snapshot Snapshot(std::uint64_t configuration_since,
+                              std::uint64_t backends_since) const;
   /// Applies the parts of a peer's snapshot that are newer than this host's.
   void Adopt(const inventory_snapshot& snapshot, const std::string& peer);
 
@@ -95,6 +97,9 @@
   /// Logs an entry that names no usable server, once for each of its revisions.
   void ReportUnusable(const store_record& record, const error& reason);
   void RemoveBackend(const std::string& name, std::uint64_t revision);
+  /// Applies all servers of a peer, or what has changed at it.
+  void AdoptAllBackends(const inventory_snapshot& snapshot);
+  void AdoptBackendChanges(const inventory_snapshot& snapshot);
   void RecordContact(bool in_contact);
   /// Runs \p work on the traffic thread.
   void PostToTraffic(std::function<void()> work);
@@ -112,6 +117,7 @@
   std::optional<time_point> configuration_read_;
   backend_directory backends_;
   std::map<std::string, store_record> backend_records_;
+  removal_log removed_backends_;
   /// Revisions of the entries that were reported as unusable.
   std::map<std::string, std::uint64_t> reported_entries_;
   std::uint64_t backend_revision_ = 0;
--- a/packages/membership/src/membership/departure_registry.cc
+++ b/packages/membership/src/membership/departure_registry.cc
@@ -145,4 +145,10 @@
   return all;
 }
 
+bool departure_registry::empty() const {
+  return announced_.empty() &&
+         std::all_of(claims_.begin(), claims_.end(),
+                     [](const auto& host) { return host.second.empty(); });
+}
+
 }  // namespace cardamomyard
--- a/packages/membership/src/membership/departure_registry.h
+++ b/packages/membership/src/membership/departure_registry.h
@@ -80,6 +80,8 @@
                    const std::function<bool(const std::string& id)>& is_listed);
 
   departure_state StateOf(const backend_instance& server) const;
+  /// \returns whether nothing is known of any server.
+  bool empty() const;
   /// \returns the announcements that this host received itself.
   std::vector<departure> Announced(time_point now) const;
 
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -176,6 +176,8 @@
   3: list<InventoryRecord> backends
   4: i64 store_contact_age_ms
   5: i64 backend_revision
+  6: optional i64 backends_since
+  7: optional list<string> removed_backends
 }
 
 struct JobPageRequest {
--- a/packages/wire/src/wire/fleet_codec.cc
+++ b/packages/wire/src/wire/fleet_codec.cc
@@ -218,6 +218,10 @@
     return entry;
   });
   wire.store_contact_age_ms = FromAge(message.store_contact_age);
+  if (message.backends_since) {
+    wire.__set_backends_since(*message.backends_since);
+    wire.__set_removed_backends(message.removed_backends);
+  }
   return Serialize(wire);
 }
 
@@ -226,15 +230,20 @@
   return internal::Deserialize<thrift_wire::InventorySnapshot>(
              bytes, kMaxSnapshotBytes)
       .map([](const thrift_wire::InventorySnapshot& wire) {
-        return inventory_snapshot{
-            wire.configuration_revision, wire.configuration,
-            wire.backend_revision,
-            ConvertList(wire.backends,
-                        [](const thrift_wire::InventoryRecord& entry) {
-                          return inventory_record{entry.name, entry.value,
-                                                  entry.revision};
-                        }),
-            ToAge(wire.store_contact_age_ms)};
+        inventory_snapshot message;
+        message.configuration_revision = wire.configuration_revision;
+        message.configuration = wire.configuration;
+        message.backend_revision = wire.backend_revision;
+        message.backends = ConvertList(
+            wire.backends, [](const thrift_wire::InventoryRecord& entry) {
+              return inventory_record{entry.name, entry.value, entry.revision};
+            });
+        message.store_contact_age = ToAge(wire.store_contact_age_ms);
+        if (wire.__isset.backends_since) {
+          message.backends_since = wire.backends_since;
+          message.removed_backends = wire.removed_backends;
+        }
+        return message;
       });
 }
 
--- a/packages/wire/src/wire/fleet_messages.h
+++ b/packages/wire/src/wire/fleet_messages.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -139,6 +140,10 @@
   std::string configuration;
   std::int64_t backend_revision = 0;
   std::vector<inventory_record> backends;
+  /// Set when `backends` holds only the records that are newer than this
+  /// revision, and `removed_backends` the names of those removed since.
+  std::optional<std::int64_t> backends_since;
+  std::vector<std::string> removed_backends;
   event_age store_contact_age;
   friend bool operator==(const inventory_snapshot&,
                          const inventory_snapshot&) = default;
