--- a/test/server_trouble_test.cc
+++ b/test/server_trouble_test.cc
@@ -5,7 +5,6 @@
 #include <atomic>
 #include <chrono>
 #include <cstdio>
-#include <fstream>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -14,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "harness/client_crowd.h"
 #include "platform_fixture.h"
 #include "raw/raw_server.h"
 
@@ -56,19 +56,6 @@
   return count;
 }
 
-/// \returns the largest memory that a process has taken so far.
-std::size_t PeakMegabytes(const child_process& process) {
-  std::ifstream file("/proc/" + std::to_string(process.pid()) + "/status");
-  for (std::string word; file >> word;) {
-    if (word == "VmHWM:") {
-      std::size_t kilobytes = 0;
-      file >> kilobytes;
-      return kilobytes / 1024;
-    }
-  }
-  return 0;
-}
-
 class server_trouble : public platform_fixture {
  protected:
   /// Registers a server that answers each request as \p answer does, and makes
@@ -100,7 +87,8 @@
     auto answer =
         client().Stream(gateway.front, Request("POST", path, "r1", "hello"));
     EXPECT_LT(std::chrono::steady_clock::now() - began, kAnsweredWithin);
-    EXPECT_LT(PeakMegabytes(*gateway.process), kMaxProcessMegabytes);
+    EXPECT_LT(harness::PeakMegabytes(gateway.process->pid()),
+              kMaxProcessMegabytes);
     return answer;
   }
 
@@ -245,7 +233,8 @@
   SetSoundServers("ready");
   RegisterEngine("trouble", trouble_->address(), "draining");
   EXPECT_TRUE(AllListed(gateway, "j1", 2)) << Log("w1");
-  EXPECT_LT(PeakMegabytes(*worker.process), kMaxProcessMegabytes);
+  EXPECT_LT(harness::PeakMegabytes(worker.process->pid()),
+            kMaxProcessMegabytes);
   const auto results = Results(gateway, "j1");
   for (const auto& value : results.at("results").as_array()) {
     const auto& entry = value.as_object();
