--- a/test/client_memory_test.cc
+++ b/test/client_memory_test.cc
@@ -5,11 +5,13 @@
 #include <stdlib.h>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "fleet_fixture.h"
 #include "harness/client_crowd.h"
 #include "platform_fixture.h"
+#include "raw/raw_server.h"
 
 namespace cardamomyard {
 namespace {
@@ -198,6 +200,41 @@
   ExpectAnswersMetrics(worker);
 }
 
+// Servers that send answers without end, signed as sound ones are. An answer of
+// a plain service is buffered whole, to 16 MB, so a few of them ended a
+// process.
+TEST_F(client_memory, AnswersWithoutEndAtAGateway) {
+  constexpr int kCalls = 24;
+  Configure(2, {kKey},
+            {MakeRoute("ask", "streaming", true),
+             MakeRoute("note", "idempotent", false, "notes")},
+            {});
+  standins::raw_server server([](standins::raw_peer& peer) {
+    const std::string head = peer.ReadRequest();
+    peer.Send(
+        "HTTP/1.1 200 OK\r\nRequest-Id: " +
+        standins::HeaderOf(head, "Request-Id") +
+        "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+    peer.SendWithoutEnd(ChunkOf(std::string(kLargeChunk, 'x')));
+  });
+  RegisterEngine("endless", server.address(), "ready", "notes");
+  const host gateway = StartGateway("g1");
+  std::vector<std::thread> callers;
+  callers.reserve(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
+    callers.emplace_back([this, &gateway, i] {
+      client().Call(gateway.front, Request("POST", "/note/1",
+                                           "n" + std::to_string(i), "hello"));
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  ASSERT_TRUE(gateway.process->Running()) << Log("g1");
+  EXPECT_LE(PeakMegabytes(gateway.process->pid()), kMemoryMegabytes);
+  ExpectServesCallers(gateway);
+}
+
 class client_memory_fleet : public harness::FleetTest {
  protected:
   void SetUp() override {
