--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -g1 -Wno-mismatched-new-delete -I. -Istandins -Itest -Ireview/lib-2 -pthread)
+flags=(-std=c++20 -O1 -g1 -Wno-mismatched-new-delete -I. -Istandins -Itest -pthread)
 for package in packages/*/; do flags+=("-I${package}include" "-I$package"); done
 sources=(
   standins/common/service_host.cc standins/platform/platform_engine.cc
@@ -24,9 +24,8 @@
 done
 for pid in "${pids[@]}"; do wait "$pid"; done
 mapfile -t libraries < <(find target/packages -name 'libcy_*.a' | sort)
-for main in review/*/main.cc; do
-  number=$(basename "$(dirname "$main")")
-  if [ "$number" -lt 7 ]; then continue; fi
+for main in review/*/test/main.cc; do
+  number=$(basename "$(dirname "$(dirname "$main")")")
   g++ "${flags[@]}" "$main" "${objects[@]}" -o "$out/case$number" \
     -Wl,--start-group "${libraries[@]}" -Wl,--end-group \
     -lboost_json -lssl -lcrypto -lspdlog -lfmt -lthrift -lxxhash
--- a/review/lib-2/machine_guard.h
+++ b/review/lib-2/machine_guard.h
@@ -43,7 +43,8 @@
   machine_guard& operator=(const machine_guard&) = delete;
 
   /// Watches a process from now on. \p host must outlive the guard.
-  void Watch(cardamomyard::harness::platform_fleet::host& host, long memory_mb) {
+  void Watch(cardamomyard::harness::platform_fleet::host& host,
+             long memory_mb) {
     threads_.emplace_back([this, &host, memory_mb] {
       while (!stopped_) {
         const long used = ResidentKb(host.process->pid());
@@ -53,14 +54,13 @@
         }
         const bool ended = !host.process->Running();
         if (ended) {
-          log_->Line("platform", "the process of " + host.name +
-                                     " has ended by itself");
+          log_->Line("platform",
+                     "the process of " + host.name + " has ended by itself");
         }
         if (used > memory_mb * 1024) {
-          log_->Line("platform", host.name + " uses " + std::to_string(used) +
-                                     " kB of " +
-                                     std::to_string(memory_mb * 1024) +
-                                     " kB: killed");
+          log_->Line("platform",
+                     host.name + " uses " + std::to_string(used) + " kB of " +
+                         std::to_string(memory_mb * 1024) + " kB: killed");
           host.process->Kill();
         }
         if (ended || used > memory_mb * 1024) {
