Inventories between hosts: keep servers whose entries expired and came back

Callers saw: after an outage of the store in which servers' entries expire, while one gateway was cut off, accepted batch items never ran (LOST) and gateways refused requests, though all servers were well and idle.

Cause: a host that hears of a removal and of the return in one answer of its watch recorded the removal at the answer's revision. Its peers, which know the return, were told the removal without the record, as the record is older than what they have. Changes of an answer were applied one by one, each under the revision of the whole; news of the own watch from before an adopted revision were dropped; nothing compared the two later.

Change: record_replica decides without a network what a host holds. Answers of the store are applied whole; a record that is back is told as removed only together with the record; one that came and went in one answer is told as removed; what the watch told is kept beside what was adopted, and where they differ once the watch has caught up, the store is listed again. Log lines name the source of a change. backend_directory::Replace() has no caller any more; its tests use Upsert() and Remove() with the same expectations. The test of removal_log moves with the class.

--- a/packages/fleet/include/cardamomyard/fleet.h
+++ b/packages/fleet/include/cardamomyard/fleet.h
@@ -16,7 +16,6 @@
 #include "src/fleet/newest_peer.h"
 #include "src/fleet/online_placement.h"
 #include "src/fleet/peer_table.h"
-#include "src/fleet/removal_log.h"
 #include "src/fleet/server_speed.h"
 #include "src/fleet/service_map.h"
 #include "src/fleet/zone_evacuations.h"
--- a/packages/fleet/src/fleet/backend_directory.cc
+++ b/packages/fleet/src/fleet/backend_directory.cc
@@ -43,21 +43,6 @@
   }
 }
 
-void backend_directory::Replace(std::vector<backend_entry> entries,
-                                time_point now) {
-  for (auto& [id, current] : entries_) {
-    const bool listed = std::any_of(
-        entries.begin(), entries.end(),
-        [&id = id](const backend_entry& entry) { return entry.id == id; });
-    if (!listed) {
-      MarkUnregistered(current, now);
-    }
-  }
-  for (backend_entry& entry : entries) {
-    Upsert(std::move(entry), now);
-  }
-}
-
 void backend_directory::Upsert(backend_entry entry, time_point now) {
   // An entry that is listed again tells nothing new of the server.
   const auto known = entries_.find(entry.id);
--- a/packages/fleet/src/fleet/backend_directory.h
+++ b/packages/fleet/src/fleet/backend_directory.h
@@ -67,8 +67,6 @@
   /// \param max_drain_time  how long a leaving server still accepts requests.
   explicit backend_directory(std::chrono::milliseconds max_drain_time);
 
-  /// Sets the complete list; servers missing from it become unregistered.
-  void Replace(std::vector<backend_entry> entries, time_point now);
   void Upsert(backend_entry entry, time_point now);
   void Remove(const std::string& id, time_point now);
   /// Called when the store answers again after an outage.
--- a/packages/gateway/src/gateway/host_runtime.cc
+++ b/packages/gateway/src/gateway/host_runtime.cc
@@ -280,11 +280,13 @@
       add(record);
     }
   };
-  events.on_change = [add](const store_change& change, std::uint64_t) {
+  events.on_changes = [add](const store_changes& answer) {
     // A removed record is ignored: a host that left is detected by the absence
     // of its digests.
-    if (!change.removed) {
-      add(change.record);
+    for (const store_change& change : answer.changes) {
+      if (!change.removed) {
+        add(change.record);
+      }
     }
   };
   events.on_contact = [](bool) {};
@@ -329,7 +331,7 @@
           current_inventory().configuration()->revision());
     }
     own.backends =
-        static_cast<std::int64_t>(current_inventory().backend_revision());
+        static_cast<std::int64_t>(current_inventory().known_backend_revision());
     const peer_state* newest =
         ChooseNewestPeer(peers_, own, failed_peer, clock_.Now());
     if (newest == nullptr) {
--- a/packages/gateway/src/gateway/inventory.cc
+++ b/packages/gateway/src/gateway/inventory.cc
@@ -1,11 +1,16 @@
 #include "src/gateway/inventory.h"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
 namespace cardamomyard {
+namespace {
+
+// Names the store where logs tell who reported a change; else it is a peer.
+constexpr std::string_view kStoreSource = "store";
+
+}  // namespace
 
 inventory::inventory(object_store& store,
                      const protocol& codec,
@@ -46,15 +51,17 @@
     PostToTraffic([this, zones = std::move(zones),
                    revision = snapshot.revision]() mutable {
       ApplyEvacuations(evacuations_.Replace(std::move(zones), revision),
-                       "store");
+                       kStoreSource);
     });
   };
-  events.on_change = [this](const store_change& change,
-                            std::uint64_t revision) {
-    PostToTraffic(
-        [this, zone = change.record.name, removed = change.removed, revision] {
-          ApplyEvacuations(evacuations_.Set(zone, !removed, revision), "store");
-        });
+  events.on_changes = [this](const store_changes& answer) {
+    for (const store_change& change : answer.changes) {
+      PostToTraffic([this, zone = change.record.name, removed = change.removed,
+                     revision = answer.revision] {
+        ApplyEvacuations(evacuations_.Set(zone, !removed, revision),
+                         kStoreSource);
+      });
+    }
   };
   events.on_contact = [](bool) {};
   evacuation_follower_ = std::make_unique<object_follower>(
@@ -69,6 +76,10 @@
   }
 }
 
+void inventory::ListAgain(object_follower& follower) {
+  boost::asio::post(control_, [&follower] { follower.ListAgain(); });
+}
+
 void inventory::ApplyEvacuations(bool changed, std::string_view source) {
   const bool is_first = !backends_.evacuations_known();
   backends_.SetEvacuations(evacuations_.zones());
@@ -91,7 +102,7 @@
     if (record.name == codec_->configuration_name()) {
       PostToTraffic([this, record] {
         last_contact_ = clock_->Now();
-        ApplyConfiguration(record, "store");
+        ApplyConfiguration(record, kStoreSource);
       });
     }
   };
@@ -101,10 +112,12 @@
       apply(record);
     }
   };
-  events.on_change = [apply](const store_change& change, std::uint64_t) {
+  events.on_changes = [apply](const store_changes& answer) {
     // The last configuration stays in force when its record is removed.
-    if (!change.removed) {
-      apply(change.record);
+    for (const store_change& change : answer.changes) {
+      if (!change.removed) {
+        apply(change.record);
+      }
     }
   };
   events.on_contact = [this](bool in_contact) {
@@ -121,10 +134,8 @@
   events.on_snapshot = [this](const store_snapshot& snapshot) {
     PostToTraffic([this, snapshot] { ApplyBackendSnapshot(snapshot); });
   };
-  events.on_change = [this](const store_change& change,
-                            std::uint64_t revision) {
-    PostToTraffic(
-        [this, change, revision] { ApplyBackendChange(change, revision); });
+  events.on_changes = [this](const store_changes& answer) {
+    PostToTraffic([this, answer] { ApplyBackendChanges(answer); });
   };
   events.on_contact = [this](bool in_contact) {
     PostToTraffic([this, in_contact] {
@@ -141,49 +152,50 @@
 
 void inventory::ApplyBackendSnapshot(const store_snapshot& snapshot) {
   last_contact_ = clock_->Now();
-  if (snapshot.revision < adopted_revision_) {
-    return;
-  }
-  std::map<std::string, store_record> listed_records;
-  std::vector<backend_entry> entries;
-  for (const store_record& record : snapshot.records) {
-    listed_records[record.name] = record;
-    if (auto entry = codec_->ParseBackend(record)) {
-      entries.push_back(std::move(*entry));
-    } else {
-      ReportUnusable(record, entry.error());
-    }
-  }
-  std::erase_if(reported_entries_, [&listed_records](const auto& reported) {
-    return !listed_records.contains(reported.first);
-  });
+  const record_difference difference = records_.ApplySnapshot(snapshot);
   log_.Info("The backend servers have been listed.",
-            {{"listed", listed_records.size()},
-             {"usable", entries.size()},
+            {{"listed", snapshot.records.size()},
+             {"changed", difference.changed.size()},
+             {"removed", difference.removed.size()},
              {"revision", snapshot.revision}});
-  if (!backends_listed_ || listed_records != backend_records_) {
-    backend_revision_ = snapshot.revision;
-  }
-  backend_records_ = std::move(listed_records);
-  removed_backends_.Reset(backend_revision_);
-  backends_.Replace(std::move(entries), clock_->Now());
-  backends_listed_ = true;
+  ApplyDifference(difference, kStoreSource, entry_log::removals);
   callbacks_.on_backends();
 }
 
-void inventory::ApplyBackendChange(const store_change& change,
-                                   std::uint64_t revision) {
+void inventory::ApplyBackendChanges(const store_changes& answer) {
   last_contact_ = clock_->Now();
-  if (revision < adopted_revision_) {
-    return;
+  const record_difference difference = records_.ApplyChanges(answer);
+  ApplyDifference(difference, kStoreSource, entry_log::all);
+  if (!difference.empty()) {
+    callbacks_.on_backends();
+  }
+}
+
+void inventory::ApplyDifference(const record_difference& difference,
+                                std::string_view source,
+                                entry_log logged) {
+  if (records_.needs_listing()) {
+    log_.Warning("The store's watch and a peer tell different servers.",
+                 {{"source", source}, {"revision", records_.revision()}});
+    ListAgain(*backend_follower_);
   }
-  backend_revision_ = std::max(backend_revision_, revision);
-  if (change.removed) {
-    RemoveBackend(change.record.name, revision);
-  } else {
-    ApplyBackend(change.record);
+  if (difference.corrected > 0) {
+    log_.Warning("Entries adopted from a peer were not those of the store.",
+                 {{"corrected", difference.corrected},
+                  {"revision", records_.revision()}});
+  }
+  // Removals come first, as a name may have come back.
+  for (const std::string& name : difference.removed) {
+    log_.Info("The entry of a backend server was removed.",
+              {{"backend", name},
+               {"source", source},
+               {"revision", records_.revision()}});
+    reported_entries_.erase(name);
+    backends_.Remove(name, clock_->Now());
+  }
+  for (const store_record& record : difference.changed) {
+    ApplyBackend(record, source, logged);
   }
-  callbacks_.on_backends();
 }
 
 void inventory::SetWatch(std::chrono::milliseconds wait,
@@ -219,7 +231,7 @@
                                     : record.error().message()}});
     co_return false;
   }
-  if (!ApplyConfiguration(**record, "store")) {
+  if (!ApplyConfiguration(**record, kStoreSource)) {
     co_return false;
   }
   configuration_read_ = requested;
@@ -251,20 +263,24 @@
   return true;
 }
 
-void inventory::ApplyBackend(const store_record& record) {
+void inventory::ApplyBackend(const store_record& record,
+                             std::string_view source,
+                             entry_log logged) {
   const auto entry = codec_->ParseBackend(record);
-  backend_records_[record.name] = record;
   if (!entry) {
     ReportUnusable(record, entry.error());
     backends_.Remove(record.name, clock_->Now());
     return;
   }
-  log_.Info("A backend server's entry changed.",
-            {{"backend", entry->id},
-             {"service", entry->service},
-             {"address", entry->address.ToString()},
-             {"state", entry->draining ? "draining" : "ready"},
-             {"revision", record.revision}});
+  if (logged == entry_log::all) {
+    log_.Info("A backend server's entry changed.",
+              {{"backend", entry->id},
+               {"service", entry->service},
+               {"address", entry->address.ToString()},
+               {"state", entry->draining ? "draining" : "ready"},
+               {"source", source},
+               {"revision", record.revision}});
+  }
   backends_.Upsert(*entry, clock_->Now());
 }
 
@@ -279,16 +295,6 @@
   }
 }
 
-void inventory::RemoveBackend(const std::string& name, std::uint64_t revision) {
-  log_.Info("The entry of a backend server was removed.",
-            {{"backend", name}, {"revision", revision}});
-  if (backend_records_.erase(name) > 0) {
-    removed_backends_.Add(name, revision);
-  }
-  reported_entries_.erase(name);
-  backends_.Remove(name, clock_->Now());
-}
-
 std::optional<std::chrono::milliseconds> inventory::store_age() const {
   if (!last_contact_) {
     return std::nullopt;
@@ -308,21 +314,19 @@
     snapshot.configuration_revision =
         static_cast<std::int64_t>(configuration_record_.revision);
   }
-  snapshot.backend_revision = static_cast<std::int64_t>(backend_revision_);
   snapshot.store_contact_age = store_age();
-  std::uint64_t newer_than = 0;
-  if (backends_since > 0) {
-    if (auto removed = removed_backends_.Since(backends_since)) {
-      newer_than = backends_since;
-      snapshot.backends_since = static_cast<std::int64_t>(backends_since);
-      snapshot.removed_backends = std::move(*removed);
-    }
+  record_update update = records_.UpdateSince(
+      backends_since > 0 ? std::optional(backends_since) : std::nullopt);
+  snapshot.backend_revision = static_cast<std::int64_t>(update.revision);
+  if (update.since) {
+    snapshot.backends_since = static_cast<std::int64_t>(*update.since);
   }
-  for (const auto& [name, record] : backend_records_) {
-    if (record.revision > newer_than) {
-      snapshot.backends.push_back(
-          {name, record.value, static_cast<std::int64_t>(record.revision)});
-    }
+  snapshot.removed_backends = std::move(update.removed);
+  snapshot.backends.reserve(update.changed.size());
+  for (store_record& record : update.changed) {
+    snapshot.backends.push_back({std::move(record.name),
+                                 std::move(record.value),
+                                 static_cast<std::int64_t>(record.revision)});
   }
   return snapshot;
 }
@@ -335,70 +339,35 @@
          static_cast<std::uint64_t>(snapshot.configuration_revision)},
         peer);
   }
-  const auto revision = static_cast<std::uint64_t>(snapshot.backend_revision);
-  if (revision <= backend_revision_) {
-    return;
+  record_update update;
+  update.revision = static_cast<std::uint64_t>(snapshot.backend_revision);
+  if (snapshot.backends_since) {
+    update.since = static_cast<std::uint64_t>(*snapshot.backends_since);
+  }
+  update.removed = snapshot.removed_backends;
+  update.changed.reserve(snapshot.backends.size());
+  for (const inventory_record& record : snapshot.backends) {
+    update.changed.push_back({record.name, record.value,
+                              static_cast<std::uint64_t>(record.revision)});
   }
-  const auto since =
-      static_cast<std::uint64_t>(snapshot.backends_since.value_or(0));
-  if (since > backend_revision_) {
-    // Changes to a state that this host does not have.
+  const std::uint64_t known = records_.known_revision();
+  const auto difference = records_.Adopt(update);
+  if (!difference) {
     return;
   }
   log_.Info("The backend servers were adopted from a peer.",
             {{"peer", peer},
              {"records", snapshot.backends.size()},
              {"removed", snapshot.removed_backends.size()},
-             {"since", since},
-             {"revision", revision},
-             {"own_revision", backend_revision_},
+             {"since", snapshot.backends_since.value_or(0)},
+             {"revision", update.revision},
+             {"own_revision", known},
              {"peer_store_age_ms", snapshot.store_contact_age
                                        ? snapshot.store_contact_age->count()
                                        : -1}});
-  if (snapshot.backends_since) {
-    AdoptBackendChanges(snapshot);
-  } else {
-    AdoptAllBackends(snapshot);
-  }
-  backend_revision_ = revision;
-  adopted_revision_ = revision;
-  backends_listed_ = true;
+  ApplyDifference(*difference, peer,
+                  update.since ? entry_log::all : entry_log::removals);
   callbacks_.on_backends();
 }
 
-void inventory::AdoptAllBackends(const inventory_snapshot& snapshot) {
-  std::vector<backend_entry> entries;
-  backend_records_.clear();
-  for (const inventory_record& peer_record : snapshot.backends) {
-    const store_record record{peer_record.name, peer_record.value,
-                              static_cast<std::uint64_t>(peer_record.revision)};
-    backend_records_[peer_record.name] = record;
-    if (auto entry = codec_->ParseBackend(record)) {
-      entries.push_back(std::move(*entry));
-    }
-  }
-  removed_backends_.Reset(
-      static_cast<std::uint64_t>(snapshot.backend_revision));
-  backends_.Replace(std::move(entries), clock_->Now());
-}
-
-void inventory::AdoptBackendChanges(const inventory_snapshot& snapshot) {
-  const auto revision = static_cast<std::uint64_t>(snapshot.backend_revision);
-  for (const std::string& name : snapshot.removed_backends) {
-    if (backend_records_.contains(name)) {
-      RemoveBackend(name, revision);
-    }
-  }
-  // After the removals, as a name may have come back.
-  for (const inventory_record& changed : snapshot.backends) {
-    const store_record record{changed.name, changed.value,
-                              static_cast<std::uint64_t>(changed.revision)};
-    const auto known = backend_records_.find(record.name);
-    if (known == backend_records_.end() ||
-        known->second.revision < record.revision) {
-      ApplyBackend(record);
-    }
-  }
-}
-
 }  // namespace cardamomyard
--- a/packages/gateway/src/gateway/inventory.h
+++ b/packages/gateway/src/gateway/inventory.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "cardamomyard/base.h"
@@ -65,14 +66,18 @@
                         std::uint64_t revision,
                         const std::string& peer);
   /// \returns whether the backend servers have been listed at least once.
-  bool backends_listed() const { return backends_listed_; }
+  bool backends_listed() const { return records_.is_listed(); }
   /// \returns the time since the store last answered; nothing when it never
   /// has.
   std::optional<std::chrono::milliseconds> store_age() const;
 
-  /// \returns the revision of the store up to which the list of backend servers
-  /// is current.
-  std::uint64_t backend_revision() const { return backend_revision_; }
+  /// \returns the revision of the last change of the backend servers, for peers
+  /// to compare.
+  std::uint64_t backend_revision() const { return records_.revision(); }
+  /// \returns the revision up to which this host knows the backend servers.
+  std::uint64_t known_backend_revision() const {
+    return records_.known_revision();
+  }
   /// Sets how long the store may hold a watch open without a change, and
   /// whether it may report changes late. Holds for the running watches too.
   void SetWatch(std::chrono::milliseconds wait, read_freshness freshness);
@@ -86,20 +91,27 @@
   void Adopt(const inventory_snapshot& snapshot, const std::string& peer);
 
  private:
+  /// Which entries get a log line. A complete list may have thousands.
+  enum class entry_log { removals, all };
+
   void FollowConfiguration();
   void FollowBackends();
   void ApplyEvacuations(bool changed, std::string_view source);
   /// \returns whether \p record, or a newer one, is in force.
   bool ApplyConfiguration(const store_record& record, std::string_view source);
   void ApplyBackendSnapshot(const store_snapshot& snapshot);
-  void ApplyBackendChange(const store_change& change, std::uint64_t revision);
-  void ApplyBackend(const store_record& record);
+  void ApplyBackendChanges(const store_changes& answer);
+  /// \param source  "store" or the name of the peer that reported it.
+  void ApplyDifference(const record_difference& difference,
+                       std::string_view source,
+                       entry_log logged);
+  void ApplyBackend(const store_record& record,
+                    std::string_view source,
+                    entry_log logged);
   /// Logs an entry that names no usable server, once for each of its revisions.
   void ReportUnusable(const store_record& record, const error& reason);
-  void RemoveBackend(const std::string& name, std::uint64_t revision);
-  /// Applies all servers of a peer, or what has changed at it.
-  void AdoptAllBackends(const inventory_snapshot& snapshot);
-  void AdoptBackendChanges(const inventory_snapshot& snapshot);
+  /// Has \p follower list its kind again.
+  void ListAgain(object_follower& follower);
   void RecordContact(bool in_contact);
   /// Runs \p work on the traffic thread.
   void PostToTraffic(std::function<void()> work);
@@ -116,15 +128,9 @@
   store_record configuration_record_;
   std::optional<time_point> configuration_read_;
   backend_directory backends_;
-  std::map<std::string, store_record> backend_records_;
-  removal_log removed_backends_;
+  record_replica records_;
   /// Revisions of the entries that were reported as unusable.
   std::map<std::string, std::uint64_t> reported_entries_;
-  std::uint64_t backend_revision_ = 0;
-  // Revision of the last snapshot adopted from a peer. Store events with an
-  // older revision are ignored.
-  std::uint64_t adopted_revision_ = 0;
-  bool backends_listed_ = false;
   zone_evacuations evacuations_;
   bool in_contact_ = false;
   std::optional<time_point> last_contact_;
--- a/packages/gateway/src/gateway/worker.cc
+++ b/packages/gateway/src/gateway/worker.cc
@@ -143,10 +143,11 @@
         }
       });
     };
-    events.on_change = [apply, executor](const store_change& change,
-                                         std::uint64_t) {
-      asio::post(executor,
-                 [apply, change] { apply(change.record, change.removed); });
+    events.on_changes = [apply, executor](const store_changes& answer) {
+      for (const store_change& change : answer.changes) {
+        asio::post(executor,
+                   [apply, change] { apply(change.record, change.removed); });
+      }
     };
     events.on_contact = [](bool) {};
     follower = std::make_unique<object_follower>(host_->store(), host_->time(),
--- a/packages/store/src/store/object_follower.cc
+++ b/packages/store/src/store/object_follower.cc
@@ -41,6 +41,18 @@
   }
 }
 
+void object_follower::ListAgain() {
+  if (!listed_) {
+    return;
+  }
+  log_.Warning("The kind is listed again.",
+               {{"kind", kind_}, {"revision", revision_}});
+  listed_ = false;
+  if (running_watch_) {
+    running_watch_->canceller->Cancel();
+  }
+}
+
 boost::asio::awaitable<void> object_follower::Run() {
   backoff delay(kFirstRetry, kMostRetry,
                 Hash64(kind_, static_cast<std::uint64_t>(
@@ -89,9 +101,7 @@
     listed_ = false;
     co_return true;
   }
-  for (const store_change& change : seen->changes) {
-    events_.on_change(change, seen->revision);
-  }
+  events_.on_changes(*seen);
   revision_ = std::max(revision_, seen->revision);
   if (!seen->changes.empty()) {
     co_await SleepFor(pause_.load());
--- a/packages/store/src/store/object_follower.h
+++ b/packages/store/src/store/object_follower.h
@@ -19,7 +19,9 @@
 struct follower_events {
   /// The whole kind, at the start and after the history was lost.
   std::function<void(const store_snapshot&)> on_snapshot;
-  std::function<void(const store_change&, std::uint64_t revision)> on_change;
+  /// One answer of the watch, also one without changes. It is to be applied
+  /// whole, as its revision holds after all of its changes.
+  std::function<void(const store_changes&)> on_changes;
   /// The store answers again, or no longer.
   std::function<void(bool in_contact)> on_contact;
 };
@@ -42,6 +44,10 @@
   /// that changes in quick succession share a call. Safe from any thread.
   void SetPause(std::chrono::milliseconds pause) { pause_ = pause; }
 
+  /// Ends a running watch and lists the kind again, unless that is being done.
+  /// To be called on the thread that runs this.
+  void ListAgain();
+
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run();
 
--- a/packages/fleet/src/fleet/removal_log.h
+++ b/packages/store/src/store/removal_log.h
@@ -1,5 +1,5 @@
-#ifndef CARDAMOMYARD_FLEET_REMOVAL_LOG_H_
-#define CARDAMOMYARD_FLEET_REMOVAL_LOG_H_
+#ifndef CARDAMOMYARD_STORE_REMOVAL_LOG_H_
+#define CARDAMOMYARD_STORE_REMOVAL_LOG_H_
 
 #include <algorithm>
 #include <cstddef>
@@ -54,4 +54,4 @@
 
 }  // namespace cardamomyard
 
-#endif  // CARDAMOMYARD_FLEET_REMOVAL_LOG_H_
+#endif  // CARDAMOMYARD_STORE_REMOVAL_LOG_H_
