Evacuated zones: a zone that is served again stays served

Each change of one answer was applied by itself under the revision of the whole answer, and a digest sent in between named a zone that the same answer gives back. Peers took it over and sent it back; at the same revision their zones were added to the sender's. A wrong list at a host was not compared with the store's again.

Change: zone_evacuations follows the store by a record_replica: whole answers only, nothing is added at an equal revision, and where a peer's zones and the watch differ, the store is listed again.

--- a/packages/fleet/src/fleet/zone_evacuations.h
+++ b/packages/fleet/src/fleet/zone_evacuations.h
@@ -4,52 +4,36 @@
 #include <cstdint>
 #include <set>
 #include <string>
-#include <utility>
+#include <vector>
+
+#include "cardamomyard/store.h"
 
 namespace cardamomyard {
 
 /// \brief The availability zones whose servers get no new work, because the
-/// operator asked for it, as of a revision of the store.
+/// operator asked for it. What a peer said holds until this host's watch has
+/// reached the peer's revision; see record_replica.
 class zone_evacuations {
  public:
   const std::set<std::string>& zones() const { return zones_; }
-  std::uint64_t revision() const { return revision_; }
+  /// \returns the revision of the last change, for peers to compare.
+  std::uint64_t revision() const { return replica_.revision(); }
 
-  /// Takes over a complete list from the store, unless this host knows a newer
-  /// one.
+  /// Applies a complete listing of the store.
   /// \returns whether the zones have changed.
-  bool Replace(std::set<std::string> zones, std::uint64_t revision) {
-    if (revision < revision_) {
-      return false;
-    }
-    revision_ = revision;
-    const bool changed = zones != zones_;
-    zones_ = std::move(zones);
-    return changed;
-  }
-  /// Takes over a peer's list. At the same revision it is added to this host's,
-  /// as a peer may know only some changes of a revision.
-  bool Adopt(std::set<std::string> zones, std::uint64_t revision) {
-    if (revision == revision_) {
-      zones.insert(zones_.begin(), zones_.end());
-    }
-    return Replace(std::move(zones), revision);
-  }
-  /// Takes over one change from the store.
-  bool Set(const std::string& zone, bool evacuated, std::uint64_t revision) {
-    if (revision < revision_) {
-      return false;
-    }
-    revision_ = revision;
-    return evacuated ? zones_.insert(zone).second : zones_.erase(zone) > 0;
-  }
-
-  friend bool operator==(const zone_evacuations&,
-                         const zone_evacuations&) = default;
+  bool ApplySnapshot(store_snapshot snapshot);
+  /// Applies one answer of the watch that continues the listing.
+  bool ApplyChanges(store_changes answer);
+  /// Takes over all zones of a peer, unless this host knows as much.
+  bool Adopt(const std::vector<std::string>& zones, std::uint64_t revision);
+  /// \returns whether the store must be listed again.
+  bool needs_listing() const { return replica_.needs_listing(); }
 
  private:
+  bool Update(const record_difference& difference);
+
+  record_replica replica_;
   std::set<std::string> zones_;
-  std::uint64_t revision_ = 0;
 };
 
 }  // namespace cardamomyard
--- a/packages/gateway/src/gateway/host_runtime_servers.cc
+++ b/packages/gateway/src/gateway/host_runtime_servers.cc
@@ -217,7 +217,7 @@
   speeds_.SetReports(digest.host, digest.speeds, clock_.Now());
   if (digest.evacuation_revision > 0) {
     current_inventory().AdoptEvacuations(
-        {digest.evacuated_zones.begin(), digest.evacuated_zones.end()},
+        digest.evacuated_zones,
         static_cast<std::uint64_t>(digest.evacuation_revision), digest.host);
   }
   callbacks_.on_digest(digest);
--- a/packages/gateway/src/gateway/inventory.cc
+++ b/packages/gateway/src/gateway/inventory.cc
@@ -44,35 +44,25 @@
   backends_.RequireEvacuations();
   follower_events events;
   events.on_snapshot = [this](const store_snapshot& snapshot) {
-    std::set<std::string> zones;
-    for (const store_record& record : snapshot.records) {
-      zones.insert(record.name);
-    }
-    PostToTraffic([this, zones = std::move(zones),
-                   revision = snapshot.revision]() mutable {
-      ApplyEvacuations(evacuations_.Replace(std::move(zones), revision),
-                       kStoreSource);
+    PostToTraffic([this, snapshot] {
+      ApplyEvacuations(evacuations_.ApplySnapshot(snapshot), kStoreSource);
     });
   };
   events.on_changes = [this](const store_changes& answer) {
-    for (const store_change& change : answer.changes) {
-      PostToTraffic([this, zone = change.record.name, removed = change.removed,
-                     revision = answer.revision] {
-        ApplyEvacuations(evacuations_.Set(zone, !removed, revision),
-                         kStoreSource);
-      });
-    }
+    PostToTraffic([this, answer] {
+      ApplyEvacuations(evacuations_.ApplyChanges(answer), kStoreSource);
+    });
   };
   events.on_contact = [](bool) {};
   evacuation_follower_ = std::make_unique<object_follower>(
       *store_, *clock_, codec_->zone_evacuation_kind(), std::move(events));
 }
 
-void inventory::AdoptEvacuations(std::set<std::string> zones,
+void inventory::AdoptEvacuations(const std::vector<std::string>& zones,
                                  std::uint64_t revision,
                                  const std::string& peer) {
-  if (evacuation_follower_ && revision >= evacuations_.revision()) {
-    ApplyEvacuations(evacuations_.Adopt(std::move(zones), revision), peer);
+  if (evacuation_follower_) {
+    ApplyEvacuations(evacuations_.Adopt(zones, revision), peer);
   }
 }
 
@@ -81,11 +71,13 @@
 }
 
 void inventory::ApplyEvacuations(bool changed, std::string_view source) {
-  const bool is_first = !backends_.evacuations_known();
-  backends_.SetEvacuations(evacuations_.zones());
-  if (!changed && !is_first) {
+  if (evacuations_.needs_listing()) {
+    ListAgain(*evacuation_follower_);
+  }
+  if (!changed && backends_.evacuations_known()) {
     return;
   }
+  backends_.SetEvacuations(evacuations_.zones());
   std::string names;
   for (const std::string& zone : evacuations_.zones()) {
     names += (names.empty() ? "" : ",") + zone;
--- a/packages/gateway/src/gateway/inventory.h
+++ b/packages/gateway/src/gateway/inventory.h
@@ -7,10 +7,10 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "cardamomyard/base.h"
 #include "cardamomyard/fleet.h"
@@ -62,7 +62,7 @@
   void FollowEvacuations();
   const zone_evacuations& evacuations() const { return evacuations_; }
   /// Takes over the evacuated zones of a peer, if its revision is newer.
-  void AdoptEvacuations(std::set<std::string> zones,
+  void AdoptEvacuations(const std::vector<std::string>& zones,
                         std::uint64_t revision,
                         const std::string& peer);
   /// \returns whether the backend servers have been listed at least once.
