HTTP client: an early answer that is whole counts though the upload was cut

Callers saw: a server that refuses a long upload at once, or answers it at once, and closes, was taken for broken; the caller got a failure, or the request was sent to another server, although the answer was whole.

Cause: a failed write ended the call without a look at what had arrived.

Change: after a failed write the client reads what is there. A message that its length or its chunks end counts. One without a length doesn't: the kernel reports a reset once, here to the write, and the read then ends as if the server had closed in order. On a kept connection only an answer that names the request counts, as an unnamed one may be about the idle connection. Nothing is read after a time-out or a cancelled call.

--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -237,6 +237,8 @@
   bool ends_with_connection() const override {
     return !parser_->chunked() && !parser_->content_length();
   }
+  /// \returns whether the body ends where the connection does.
+  bool needs_end_of_stream() const { return parser_->need_eof(); }
 
   asio::awaitable<result<std::string>> ReadSome() override {
     if (parser_->is_done()) {
@@ -502,21 +504,38 @@
           return http::async_write(stream, message, kUseResult);
         },
         link->stream);
+    // Why the request was not sent whole. The server may have answered before.
+    std::optional<error> cut;
     if (write_code) {
-      co_return Fail(CallFailure(write_code, "sending to " + server.ToString(),
-                                 outcome::may_have_run));
+      cut = CallFailure(write_code, "sending to " + server.ToString(),
+                        outcome::may_have_run);
+      const bool is_cancelled =
+          options.canceller != nullptr && options.canceller->cancelled();
+      if (write_code == beast::error::timeout || is_cancelled) {
+        co_return Fail(*cut);
+      }
+      options.reuse_connection = false;
     }
     int stray = 0;
     int interim = 0;
     while (stray <= kMaxStrayAnswers && interim <= kMaxInterimAnswers) {
       auto call = co_await ReadHead(link, server, options, pool, where);
       if (!call) {
-        co_return Fail(call.error());
+        co_return Fail(cut ? *cut : call.error());
       }
       const bool is_interim = (*call)->status() < kFirstFinalStatus;
-      if (!is_interim && (options.origin_of == nullptr ||
-                          (*options.origin_of)((*call)->headers()) !=
-                              answer_origin::other_request)) {
+      const answer_origin origin =
+          options.origin_of == nullptr
+              ? answer_origin::unnamed
+              : (*options.origin_of)((*call)->headers());
+      if (!is_interim && origin != answer_origin::other_request) {
+        // The reset has been reported to the write, so the end of an answer
+        // without length proves nothing. On a kept connection an unnamed
+        // answer may be about the connection, which was idle too long.
+        if (cut && ((*call)->needs_end_of_stream() ||
+                    (link->reused && origin == answer_origin::unnamed))) {
+          co_return Fail(*cut);
+        }
         (*call)->TakeConnection(std::move(link));
         co_return std::move(*call);
       }
@@ -566,11 +585,11 @@
     }
     const auto status = static_cast<int>(parser->get().result_int());
     if (status < kFirstStatus || status > kLastStatus) {
-      co_return Fail(
-          error::Make(error_kind::backend_failed,
-                      server.ToString() + " sent the status " +
-                          std::to_string(status) + ", which HTTP does not know")
-              .WithOutcome(outcome::may_have_run));
+      co_return Fail(error::Make(error_kind::backend_failed,
+                                 server.ToString() + " sent the status " +
+                                     std::to_string(status) +
+                                     ", which HTTP does not know")
+                         .WithOutcome(outcome::may_have_run));
     }
     co_return std::make_unique<call_impl>(std::move(parser), options, pool,
                                           where);
--- a/standins/raw/raw_server.cc
+++ b/standins/raw/raw_server.cc
@@ -29,7 +29,7 @@
   return std::string(head.substr(begin, head.find('\r', begin) - begin));
 }
 
-std::string raw_peer::ReadRequest() {
+std::string raw_peer::ReadHead() {
   boost::system::error_code code;
   const std::size_t length = asio::read_until(
       socket_, asio::dynamic_buffer(received_), kHeadEnd, code);
@@ -38,6 +38,15 @@
   }
   std::string head = received_.substr(0, length);
   received_.erase(0, length);
+  return head;
+}
+
+std::string raw_peer::ReadRequest() {
+  std::string head = ReadHead();
+  if (head.empty()) {
+    return head;
+  }
+  boost::system::error_code code;
   const std::string body_length = HeaderOf(head, "Content-Length");
   const std::size_t body = body_length.empty() ? 0 : std::stoul(body_length);
   if (received_.size() < body) {
@@ -72,6 +81,11 @@
   }
 }
 
+void raw_peer::Close() {
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
 void raw_peer::Reset() {
   boost::system::error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -93,6 +107,11 @@
           host_address::Make("127.0.0.1", acceptor_.local_endpoint().port())),
       accepting_([this] { Accept(); }) {}
 
+void raw_server::SetReceiveBuffer(int bytes) {
+  // Accepted connections inherit it.
+  acceptor_.set_option(asio::socket_base::receive_buffer_size(bytes));
+}
+
 raw_server::~raw_server() {
   stopping_ = true;
   StopListening();
--- a/standins/raw/raw_server.h
+++ b/standins/raw/raw_server.h
@@ -27,6 +27,8 @@
   /// Reads a request head and a body of its Content-Length.
   /// \returns the head, empty when the client has closed.
   std::string ReadRequest();
+  /// Reads a request head and leaves the body unread.
+  std::string ReadHead();
   /// \returns false when the client has closed.
   bool Send(std::string_view bytes);
   /// Sends \p bytes again and again, with a pause in between, until the client
@@ -36,6 +38,8 @@
                              std::chrono::milliseconds pause = {});
   /// Discards what the client sends until it closes.
   void WaitForClose();
+  /// Closes the connection, whatever has not been read.
+  void Close();
   /// Closes the connection so that the client sees a reset.
   void Reset();
   /// Ends what the client receives; its bytes can still be read.
@@ -59,6 +63,9 @@
   using script = std::function<void(raw_peer&)>;
 
   explicit raw_server(script serve);
+  /// Sets the size of the buffers in which unread bytes of new connections
+  /// wait.
+  void SetReceiveBuffer(int bytes);
   ~raw_server();
   raw_server(const raw_server&) = delete;
   raw_server& operator=(const raw_server&) = delete;
--- a/test/cut_answer_test.cc
+++ b/test/cut_answer_test.cc
@@ -20,6 +20,10 @@
 using standins::raw_server;
 
 constexpr int kCuts = 6;
+// More than the sockets hold beside small receive buffers.
+constexpr std::size_t kLongBodyBytes = 3U << 20U;
+constexpr int kReceiveBufferBytes = 4096;
+const std::vector<std::string> kUnknownStatuses{"000", "099", "600", "2x0"};
 
 /// An answer's head up to one of its parts.
 std::string HeadUpTo(int part, const std::string& id) {
@@ -53,6 +57,28 @@
 
 class cut_head : public platform_fixture {
  protected:
+  /// Makes a server the only one that answers with \p bytes before it has read
+  /// the body, and resets the connection.
+  void ServeEarlyPart(std::function<std::string(const std::string&)> bytes) {
+    server_.reset();
+    server_ = std::make_unique<raw_server>(
+        [this, bytes = std::move(bytes)](raw_peer& peer) {
+          const std::string id = HeaderOf(peer.ReadHead(), "Request-Id");
+          if (id.empty()) {
+            return;
+          }
+          ++asked_;
+          if (sound_after_first_) {
+            SetSoundServers("ready");
+          }
+          peer.Send(bytes(id));
+          peer.Reset();
+        });
+    server_->SetReceiveBuffer(kReceiveBufferBytes);
+    RegisterEngine("cut", server_->address(), "ready");
+    SetSoundServers("draining");
+  }
+
   /// Makes a server with these answers the only one.
   void ServeOnly(std::function<std::string(const std::string&)> answer,
                  bool reset = false) {
@@ -154,5 +180,88 @@
   }
 }
 
+/// Parts of answers without a length: plain ones, and streams that end at an
+/// event.
+std::vector<std::string> EarlyParts(const std::string& id) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s\r\n";
+  return {head + "Content-Type: application/json\r\n\r\n{\"part\":1}",
+          head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: " +
+              platform_engine::Event(1) + "\n\n"};
+}
+
+// A server answered a long upload at once, sent a part of an answer without a
+// length and reset the connection; callers got the part as a whole answer.
+TEST_F(cut_head, Rule08_PartBeforeAResetDuringTheUploadIsNoSuccess) {
+  Configure(2, {kKey},
+            {MakeRoute("ask", "streaming", true),
+             MakeRoute("draft", "streaming", false),
+             MakeRoute("note", "idempotent", false)},
+            {});
+  for (std::size_t i = 0; i < EarlyParts("").size(); ++i) {
+    ServeEarlyPart([i](const std::string& id) { return EarlyParts(id)[i]; });
+    for (const std::string path : {"/ask/1", "/draft/1", "/note/1"}) {
+      const std::string name = "g" + std::to_string(i) + path.substr(1, 3);
+      const host gateway = StartGateway(name);
+      const int before = asked_;
+      const auto answer = client().Stream(
+          gateway.front,
+          Request("POST", path, name, std::string(kLongBodyBytes, 'x')));
+      EXPECT_GT(asked_, before) << path << Log(name);
+      EXPECT_FALSE(answer.status < 400 && answer.whole)
+          << path << " " << answer.status << answer.body << Log(name);
+      gateway.process->Kill();
+    }
+  }
+}
+
+TEST_F(cut_head, Rule08_ItemIsNotCompletedByAPartBeforeAReset) {
+  const host gateway = StartGateway("g");
+  StartWorker("w", gateway);
+  sound_after_first_ = true;
+  for (std::size_t i = 0; i < EarlyParts("").size(); ++i) {
+    ServeEarlyPart([i](const std::string& id) { return EarlyParts(id)[i]; });
+    ExpectItemsAreWhole(gateway, "early" + std::to_string(i));
+  }
+}
+
+std::string AnswerWithStatus(const std::string& status, const std::string& id) {
+  return "HTTP/1.1 " + status + " Status\r\nRequest-Id: " + id +
+         "\r\nResponse-Signature: s\r\nContent-Type: application/json\r\n"
+         "Content-Length: 2\r\n\r\n{}";
+}
+
+// Servers in trouble sent the status 000, and callers got it as an answer.
+TEST_F(cut_head, Rule08_StatusThatHttpDoesNotKnowIsNoAnswer) {
+  for (const std::string& status : kUnknownStatuses) {
+    ServeOnly([&status](const std::string& id) {
+      return AnswerWithStatus(status, id);
+    });
+    const host gateway = StartGateway("g" + status);
+    for (const std::string path : {"/ask/1", "/draft/1"}) {
+      const auto answer = client().Stream(
+          gateway.front,
+          Request("POST", path, status + path.substr(1, 3), "x"));
+      EXPECT_EQ(answer.status, 502) << status << path << Log(gateway.name);
+    }
+    EXPECT_TRUE(Logged(gateway.name, "A server broke off a request.",
+                       "\"backend\":\"cut\""))
+        << Log(gateway.name);
+    gateway.process->Kill();
+  }
+}
+
+TEST_F(cut_head, Rule08_ItemIsNotEndedByAStatusThatHttpDoesNotKnow) {
+  const host gateway = StartGateway("g");
+  StartWorker("w", gateway);
+  sound_after_first_ = true;
+  for (const std::string& status : kUnknownStatuses) {
+    ServeOnly([&status](const std::string& id) {
+      return AnswerWithStatus(status, id);
+    });
+    ExpectItemsAreWhole(gateway, "status" + status);
+  }
+}
+
 }  // namespace
 }  // namespace cardamomyard
--- a/test/cut_service_answer_test.cc
+++ b/test/cut_service_answer_test.cc
@@ -18,6 +18,9 @@
 using standins::raw_peer;
 using standins::raw_server;
 
+// More than the sockets hold beside small receive buffers.
+constexpr std::size_t kLongBodyBytes = 3U << 20U;
+constexpr int kReceiveBufferBytes = 4096;
 constexpr const char* kBegin =
     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
 constexpr const char* kSoundAnswer =
@@ -27,7 +30,8 @@
  protected:
   void SetUp() override {
     server_ = std::make_unique<raw_server>([this](raw_peer& peer) {
-      const std::string head = peer.ReadRequest();
+      const std::string head =
+          leave_bodies_ ? peer.ReadHead() : peer.ReadRequest();
       if (head.starts_with("GET /healthz")) {
         peer.Send(kSoundAnswer);
         return;
@@ -39,6 +43,7 @@
         peer.Reset();
       }
     });
+    server_->SetReceiveBuffer(kReceiveBufferBytes);
     Start({.entry_hosts = 1, .groups = {Services(1)}});
     fleet_member& sidecar = fleet_->sidecar("app");
     std::vector<std::string>& arguments = sidecar.command.arguments;
@@ -87,6 +92,7 @@
   }
 
   std::atomic<int> asked_{0};
+  std::atomic<bool> leave_bodies_{false};
   std::mutex mutex_;
   std::string answer_;
   bool reset_ = false;
@@ -113,6 +119,36 @@
   ExpectNoSuccess(std::string(kBegin) + "\r\n");
 }
 
+// Servers in trouble sent the status 000, and callers got it as an answer.
+TEST_F(cut_service_answer, Rule08_StatusThatHttpDoesNotKnowIsNoAnswer) {
+  for (const std::string status : {"000", "099", "600", "2x0"}) {
+    for (const bool reset : {false, true}) {
+      Answer("HTTP/1.1 " + status + " Status\r\nContent-Length: 4\r\n\r\nbody",
+             reset);
+      const stream_answer answer = CallServer();
+      EXPECT_GE(answer.status, 500) << status;
+      EXPECT_LE(answer.status, 504) << status;
+      EXPECT_NE(answer.body, "body") << status;
+    }
+  }
+}
+
+// A service answered a long upload at once, sent a part of an answer without a
+// length and reset the connection; callers got the part as a whole answer.
+TEST_F(cut_service_answer, Rule08_PartBeforeAResetDuringTheUploadIsNoSuccess) {
+  Answer(std::string(kBegin) + "\r\npart", true);
+  leave_bodies_ = true;
+  const int before = asked_;
+  const stream_answer answer = fleet_->http().Stream(
+      fleet_->entry(0).address,
+      JsonRequest("POST", "/app/x",
+                  "\"" + std::string(kLongBodyBytes, 'x') + "\"",
+                  fleet_->key("acme")));
+  EXPECT_GT(asked_, before) << answer.status << answer.body;
+  EXPECT_FALSE(answer.status < 400 && answer.whole)
+      << answer.status << " " << answer.body;
+}
+
 TEST_F(cut_service_answer, AnswerMayEndWithItsConnection) {
   Answer(std::string(kBegin) + "\r\nbody", false);
   EXPECT_EQ(CallServer().body, "body");
