Store answers without end: bounded by a page and one object

Callers saw: when the store sent bytes without end, a gateway and a worker each took 347 MB (limit in the test: 64 MB; smallest machines: 120 MB). There the process ends, and the requests of all its clients with it.

Cause: an answer of the store was kept up to 64 MB, a buffer grows by doubling, and a host follows four kinds at once.

Change: an answer may have a page (about 1 MB by the store's protocol) and one object. A watch whose events don't fit reports `too_large` and its kind is listed again, page by page. Not bounded: the sum of the pages of one listing.

--- a/packages/store/src/store/object_follower.cc
+++ b/packages/store/src/store/object_follower.cc
@@ -92,6 +92,7 @@
   }
   if (!seen) {
     Failed("watch", seen.error());
+    listed_ = seen.error().kind() != error_kind::too_large;
     co_return false;
   }
   Answered();
--- a/packages/store/src/store/object_store.h
+++ b/packages/store/src/store/object_store.h
@@ -70,6 +70,8 @@
       std::string kind,
       read_freshness freshness) = 0;
   /// Waits until a record of the kind changes after \p revision.
+  /// \returns `too_large` when the changes don't fit an answer: list the kind
+  /// again.
   virtual boost::asio::awaitable<result<store_changes>>
   Watch(std::string kind, std::uint64_t revision, watch_options options) = 0;
   /// \returns `conflict` when the record exists.
--- a/packages/store/src/store/store_client.cc
+++ b/packages/store/src/store/store_client.cc
@@ -17,6 +17,8 @@
 constexpr int kStatusConditionFailed = 412;
 constexpr int kStatusTooMany = 429;
 constexpr std::size_t kListPage = 1000;
+// Above any page and any value; a faulty store may send bytes without end.
+constexpr std::size_t kMaxAnswerBytes = 4U << 20U;
 constexpr std::chrono::milliseconds kFirstBackoff{20};
 
 std::string ObjectTarget(const std::string& key) {
@@ -123,8 +125,8 @@
         .Add(static_cast<std::int64_t>(bytes));
   };
   count_bytes("sent", MessageBytes(request));
-  result<http_response> answer =
-      co_await http_->Fetch(options_.address, std::move(request), options);
+  result<http_response> answer = co_await http_->Fetch(
+      options_.address, std::move(request), options, kMaxAnswerBytes);
   if (!answer) {
     metrics_->Counter("cardamomyard_store_failures_total").Add();
     co_return Fail(Unavailable(answer.error().message(), answer.error().ran()));
--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -15,6 +15,7 @@
 constexpr std::string_view kStatusSuffix = "/status";
 constexpr std::size_t kMaxBodyBytes = 2U << 20U;
 constexpr std::chrono::milliseconds kWatchPoll{3};
+constexpr std::size_t kEndlessPiece = 64 * 1024;
 
 std::optional<std::uint64_t> QueryNumber(std::string_view query,
                                          std::string_view name) {
@@ -226,6 +227,12 @@
     co_await exchange.Send(Plain(503));
     co_return;
   }
+  if (condition_ == condition::endless) {
+    co_await exchange.StartStream(200, {});
+    while (co_await exchange.Write(std::string(kEndlessPiece, 'x'))) {
+    }
+    co_return;
+  }
   std::string_view target = request.target;
   const std::size_t mark = target.find('?');
   const std::string query(
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -24,6 +24,7 @@
     losing,    ///< Writes are done; every second one gets no answer.
     slow,      ///< Calls are done; each answer takes kSlowAnswer more.
     late,      ///< Writes get no answer and are done after kLateWrite.
+    endless,   ///< Answers bytes that are no answer, until the caller closes.
   };
   static constexpr std::chrono::milliseconds kSlowAnswer{300};
   static constexpr std::chrono::milliseconds kLateWrite{700};
--- a/test/client_memory_test.cc
+++ b/test/client_memory_test.cc
@@ -235,6 +235,36 @@
   ExpectServesCallers(gateway);
 }
 
+// Hosts follow several kinds of the store at once, so answers without end to
+// all of them ended a process.
+TEST_F(client_memory, AnswersWithoutEndFromTheStore) {
+  const host gateway = StartGateway("g1");
+  const host worker = StartWorker("w1", gateway);
+  store().SetCondition(standins::platform_store::condition::endless);
+  for (const host& process : {gateway, worker}) {
+    for (const std::string kind : {"servers", "config", "cardamomyard-host"}) {
+      EXPECT_TRUE(Eventually([&] {
+        return Logged(process.name, "The store does not answer.",
+                      "\"kind\":\"" + kind + "\"");
+      })) << Log(process.name);
+    }
+    ExpectServesCallers(gateway);
+  }
+  // Each follower has asked several times more.
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  for (const host& process : {gateway, worker}) {
+    ASSERT_TRUE(process.process->Running()) << Log(process.name);
+    EXPECT_LE(PeakMegabytes(process.process->pid()), kMemoryMegabytes);
+  }
+  ExpectServesCallers(gateway);
+  RegisterEngine("late", engine_address(0), "ready");
+  store().SetCondition(standins::platform_store::condition::serving);
+  EXPECT_TRUE(Eventually([&] {
+    return Logged("g1", "The backend servers have been listed.",
+                  "\"listed\":\"3\"");
+  })) << Log("g1");
+}
+
 class client_memory_fleet : public harness::FleetTest {
  protected:
   void SetUp() override {
