Own interface: buffered answers count as memory; answers without end in each part

Callers saw: when a service behind a sidecar sent a body without end, 12 callers made sidecar and entry host take 237 to 370 MB (limit in the test: 64 MB), which ends the process and with it the requests of all other clients.

Cause: an answer that is no stream is buffered whole, up to 16 MB each, and was not counted to the budget of server_resources. The gateway counts it since; the relay of the own interface didn't.

Change: RelayBuffered() holds the memory of what it has read, twice as a buffer grows, and closes the server's connection when the answer is too large or the memory is short. The call fails with the outcome `ran`.

--- a/packages/node/src/node/answer_relay.cc
+++ b/packages/node/src/node/answer_relay.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t kMaxBufferedAnswerBytes = 16U << 20U;
+// A buffer exists twice while it grows.
+constexpr std::size_t kBodyCopies = 2;
 // A withdrawn API key must end a stream within seconds, even if the server
 // sends nothing.
 constexpr std::chrono::milliseconds kCheckInterval{500};
@@ -78,12 +80,43 @@
   return headers;
 }
 
+/// Reads a whole answer, and counts it to the memory of \p to.
+asio::awaitable<result<std::string>> ReadHeld(http_call& from,
+                                              http_exchange& to) {
+  std::string body;
+  while (true) {
+    result<std::string> piece = co_await from.ReadSome();
+    if (!piece) {
+      co_return piece;
+    }
+    if (piece->empty()) {
+      co_return body;
+    }
+    if (body.size() + piece->size() > kMaxBufferedAnswerBytes) {
+      co_return Fail(
+          error::Make(error_kind::too_large, "the server's answer is too large")
+              .WithOutcome(outcome::ran));
+    }
+    if (result<void> held = co_await to.HoldMemory(kBodyCopies * piece->size());
+        !held) {
+      co_return Fail(
+          error::Make(error_kind::backend_failed,
+                      "the host has no memory for the server's answer")
+              .WithOutcome(outcome::ran));
+    }
+    body += *piece;
+  }
+}
+
 asio::awaitable<relay_report> RelayBuffered(http_call& from,
                                             http_exchange& to,
                                             const relay_options& options) {
   relay_report report;
-  result<std::string> body = co_await from.ReadAll(kMaxBufferedAnswerBytes);
+  from.LimitReads(options.event_timeout);
+  result<std::string> body = co_await ReadHeld(from, to);
   if (!body) {
+    // What more the server sends is not read.
+    from.Cancel();
     report.failure = body.error();
     co_return report;
   }
