TRACE with a body is refused; an exception fails the call, not the process

Cause: the HTTP library throws when the client prepares such a request. The call runs in a coroutine of its own, where an exception ends the process.

Change: a server port refuses such a request with 400, as HTTP forbids it; the client refuses it too, before it is sent, for requests that come another way (batch items, stored records). Whatever a library throws while a call is opened now fails that call with `internal` and `may_have_run`.

Tests: item_fields.TraceWithABodyEndsNoProcess (real gateway) fails on: no answer, and the gateway is gone. checked_client.TraceWithABodyEndsNoProcess, checked_client.AnExceptionFailsTheCallAlone and raw_fixture.TraceWithABodyIsRefused are new.

--- a/packages/net/src/net/http_client.cc
+++ b/packages/net/src/net/http_client.cc
@@ -18,6 +18,7 @@
 #include <boost/beast/ssl.hpp>
 #include <charconv>
 #include <chrono>
+#include <exception>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -374,8 +375,42 @@
       host_address server,
       http_request request,
       call_options options) override {
-    const std::shared_ptr<connection_pool> pool = pool_;
-    const std::shared_ptr<asio::ssl::context> tls = tls_;
+    std::string reason;
+    try {
+      co_return co_await OpenOrThrow(std::move(server), std::move(request),
+                                     std::move(options), pool_, tls_);
+    } catch (const std::exception& thrown) {
+      // Callers open calls in coroutines of their own, where an exception would
+      // end the process.
+      reason = thrown.what();
+    }
+    co_return Fail(error::Make(error_kind::internal, "the call: " + reason)
+                       .WithOutcome(outcome::may_have_run));
+  }
+
+  asio::awaitable<result<http_response>> Fetch(host_address server,
+                                               http_request request,
+                                               call_options options,
+                                               std::size_t limit) override {
+    auto call = co_await Open(std::move(server), std::move(request), options);
+    if (!call) {
+      co_return Fail(call.error());
+    }
+    result<std::string> body = co_await (*call)->ReadAll(limit);
+    if (!body) {
+      co_return Fail(body.error());
+    }
+    co_return http_response{(*call)->status(), (*call)->headers(),
+                            std::move(*body)};
+  }
+
+ private:
+  static asio::awaitable<result<std::unique_ptr<http_call>>> OpenOrThrow(
+      host_address server,
+      http_request request,
+      call_options options,
+      std::shared_ptr<connection_pool> pool,
+      std::shared_ptr<asio::ssl::context> tls) {
     if (result<void> valid = CheckHead(request); !valid) {
       co_return Fail(valid.error().WithOutcome(outcome::not_run));
     }
@@ -419,23 +454,6 @@
     co_return answer;
   }
 
-  asio::awaitable<result<http_response>> Fetch(host_address server,
-                                               http_request request,
-                                               call_options options,
-                                               std::size_t limit) override {
-    auto call = co_await Open(std::move(server), std::move(request), options);
-    if (!call) {
-      co_return Fail(call.error());
-    }
-    result<std::string> body = co_await (*call)->ReadAll(limit);
-    if (!body) {
-      co_return Fail(body.error());
-    }
-    co_return http_response{(*call)->status(), (*call)->headers(),
-                            std::move(*body)};
-  }
-
- private:
   static asio::awaitable<result<connection_ptr>> Connect(
       const host_address& server,
       const call_options& options,
--- a/packages/net/src/net/http_server.cc
+++ b/packages/net/src/net/http_server.cc
@@ -126,6 +126,13 @@
                              http::make_error_code(http::error::header_limit));
     co_return false;
   }
+  // By HTTP, and no client may pass such a request on.
+  if (parser.get().method() == http::verb::trace &&
+      (parser.chunked() || parser.content_length().value_or(0) > 0)) {
+    co_await RefuseMalformed(
+        stream, http::make_error_code(http::error::unexpected_body));
+    co_return false;
+  }
   const count_scope active(state.active);
   server_exchange<Stream> current(stream, buffer, parser, state, holding,
                                   remote_ip);
--- a/packages/net/src/net/message_rules.cc
+++ b/packages/net/src/net/message_rules.cc
@@ -72,6 +72,9 @@
   if (result<void> method = CheckMethod(request.method); !method) {
     return method;
   }
+  if (request.method == "TRACE" && !request.body.empty()) {
+    return Invalid("a TRACE request", "must not have a body");
+  }
   if (result<void> target = CheckTarget(request.target); !target) {
     return target;
   }
--- a/packages/net/test/early_answer_test.cc
+++ b/packages/net/test/early_answer_test.cc
@@ -86,7 +86,8 @@
     for (const std::string status : {"200 OK", "413 Too Large"}) {
       Serve([&](raw_peer& peer) {
         peer.ReadHead();
-        peer.Send("HTTP/1.1 " + status + "\r\n" + rest);
+        peer.Send("HTTP/1.1 " + status + "\r\n");
+        peer.Send(rest);
         peer.Close();
       });
       const auto answer = Send(kLongBytes);
--- a/packages/net/test/message_rules_test.cc
+++ b/packages/net/test/message_rules_test.cc
@@ -86,6 +86,35 @@
   EXPECT_EQ(requests_, 0);
 }
 
+// The HTTP library throws for such a request, which ended the process.
+TEST_F(checked_client, TraceWithABodyEndsNoProcess) {
+  http_request request;
+  request.method = "TRACE";
+  request.body = "hello";
+  const auto answer = Fetch(request);
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().kind(), error_kind::invalid_request);
+  EXPECT_EQ(answer.error().ran(), outcome::not_run);
+  EXPECT_EQ(requests_, 0);
+}
+
+TEST_F(checked_client, AnExceptionFailsTheCallAlone) {
+  const std::function<bool()> throws = []() -> bool {
+    throw std::length_error("of a library");
+  };
+  call_options options;
+  options.may_send = &throws;
+  const auto answer =
+      asio::co_spawn(threads_.At(0),
+                     client_->Open(server_->address(), {}, options),
+                     asio::use_future)
+          .get();
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().kind(), error_kind::internal);
+  EXPECT_EQ(answer.error().ran(), outcome::may_have_run);
+  EXPECT_TRUE(Fetch({}));
+}
+
 TEST_F(checked_client, HeadersThatAreTooLongEndNoProcess) {
   http_request request;
   request.headers.Set("Model", std::string(72 * 1024, 'm'));
--- a/packages/net/test/raw_request_test.cc
+++ b/packages/net/test/raw_request_test.cc
@@ -73,6 +73,19 @@
   }
 }
 
+// A request that no HTTP client may pass on.
+TEST_F(raw_fixture, TraceWithABodyIsRefused) {
+  for (const std::string& fields :
+       {"Content-Length: 1\r\n\r\nb"s,
+        "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n"s}) {
+    const std::string got =
+        Exchange("TRACE / HTTP/1.1\r\nHost: h\r\n" + fields);
+    EXPECT_TRUE(got.starts_with("HTTP/1.1 400")) << fields << got;
+  }
+  EXPECT_TRUE(Exchange("TRACE / HTTP/1.1\r\nHost: h\r\n\r\n")
+                  .starts_with("HTTP/1.1 200"));
+}
+
 // Guards against heads that cost memory and time without bound.
 TEST_F(raw_fixture, HeadsAreBounded) {
   std::string many;
--- a/packages/net/test/server_faults_test.cc
+++ b/packages/net/test/server_faults_test.cc
@@ -306,7 +306,8 @@
           "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
           "\r\nbody"}) {
       Serve([&](raw_peer& peer) {
-        peer.Send("HTTP/1.1 " + status + " Status\r\n" + rest);
+        peer.Send("HTTP/1.1 " + status + " Status\r\n");
+        peer.Send(rest);
         peer.WaitForClose();
       });
       call_options options;
--- a/test/cut_answer_test.cc
+++ b/test/cut_answer_test.cc
@@ -23,7 +23,7 @@
 // More than the sockets hold beside small receive buffers.
 constexpr std::size_t kLongBodyBytes = 3U << 20U;
 constexpr int kReceiveBufferBytes = 4096;
-const std::vector<std::string> kUnknownStatuses{"000", "099", "600", "2x0"};
+const std::vector<std::string> unknown_statuses{"000", "099", "600", "2x0"};
 
 /// An answer's head up to one of its parts.
 std::string HeadUpTo(int part, const std::string& id) {
@@ -233,7 +233,7 @@
 
 // Servers in trouble sent the status 000, and callers got it as an answer.
 TEST_F(cut_head, Rule08_StatusThatHttpDoesNotKnowIsNoAnswer) {
-  for (const std::string& status : kUnknownStatuses) {
+  for (const std::string& status : unknown_statuses) {
     ServeOnly([&status](const std::string& id) {
       return AnswerWithStatus(status, id);
     });
@@ -255,7 +255,7 @@
   const host gateway = StartGateway("g");
   StartWorker("w", gateway);
   sound_after_first_ = true;
-  for (const std::string& status : kUnknownStatuses) {
+  for (const std::string& status : unknown_statuses) {
     ServeOnly([&status](const std::string& id) {
       return AnswerWithStatus(status, id);
     });
--- a/test/item_fields_test.cc
+++ b/test/item_fields_test.cc
@@ -84,6 +84,23 @@
   EXPECT_EQ(Runs("i-0"), 0U);
 }
 
+TEST_F(item_fields, TraceWithABodyEndsNoProcess) {
+  const host gateway = StartGateway("g1");
+  const auto answer =
+      client().Stream(gateway.front, Request("POST", "/ask/1", "r1", "hello"));
+  EXPECT_EQ(answer.status, 200);
+  const auto raw = harness::raw_connection::Open(gateway.front);
+  ASSERT_TRUE(raw);
+  ASSERT_TRUE((*raw)->Send(
+      "TRACE /ask/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r2\r\n"
+      "Authorization: Token " +
+      std::string(kKey) + "\r\nContent-Length: 5\r\n\r\nhello"));
+  EXPECT_EQ((*raw)->ReadAnswer().status, 400);
+  EXPECT_TRUE(gateway.process->Running()) << Log("g1");
+  const http_request sound = Request("POST", "/ask/1", "r3", "hello");
+  EXPECT_EQ(client().Call(gateway.front, sound).status, 200);
+}
+
 TEST_F(item_fields, RequestWithAHugeHeaderEndsNoProcess) {
   Configure(2, {kKey}, {MakeRoute("ask", "streaming", true)},
             {{"max-header-bytes", 200'000}});
