Tests: wait for the store's calls, not for a guessed time

client_memory.AnswersWithoutEndFromTheStore slept 3 s so that each follower asks again; it now waits for 40 more calls at the stand-in.

--- a/test/client_memory_test.cc
+++ b/test/client_memory_test.cc
@@ -250,8 +250,10 @@
     }
     ExpectServesCallers(gateway);
   }
-  // Each follower has asked several times more.
-  std::this_thread::sleep_for(std::chrono::seconds(3));
+  // Each follower asks several times more.
+  constexpr int kMoreCalls = 40;
+  const int calls = store().calls();
+  EXPECT_TRUE(Eventually([&] { return store().calls() > calls + kMoreCalls; }));
   for (const host& process : {gateway, worker}) {
     ASSERT_TRUE(process.process->Running()) << Log(process.name);
     EXPECT_LE(PeakMegabytes(process.process->pid()), kMemoryMegabytes);
