--- a/review/lib-3/rig.h
+++ b/review/lib-3/rig.h
@@ -765,6 +765,7 @@
   const std::string& id() const { return id_; }
   std::string address() const { return server_.address(); }
   int running() const { return running_; }
+  /// \returns when the last usual answer ended.
   time_point last_finished() const { return last_finished_; }
 
   /// Ends the server as its process would.
@@ -847,9 +848,9 @@
     }
     if (!kept) {
       kept = Stream(link, request);
+      last_finished_ = clock_type::now();
     }
     --running_;
-    last_finished_ = clock_type::now();
     return *kept;
   }
 
