Stand-in of the platform's store: listings in pages, targets read as HTTP does

What callers saw: after a restart of all hosts, almost no request was served while another writer's entry, named with '&', '+', '#', '%' or a blank, stood in a list of servers longer than one page. No test could show it: the stand-in answered "has-more": false to every listing, and took a query apart by pieces without decoding it.

Change: listings have pages in the order of names, of a size that a test sets. Targets are read by Boost.URL (RFC 3986; a plus sign in a query is a blank, what follows '#' is not a part of the request); one that cannot be read gets a 400 and is counted. The stand-in counts how often each page was asked for, answers listings that are stuck or go back on demand, and holds names that stand in answers as another encoder writes them.

The product is unchanged.

--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -1,6 +1,8 @@
 #include "platform/platform_store.h"
 
 #include <algorithm>
+#include <boost/url/parse.hpp>
+#include <boost/url/src.hpp>
 #include <charconv>
 #include <string_view>
 #include <utility>
@@ -11,22 +13,55 @@
 
 namespace {
 
-constexpr std::string_view kRoot = "/v1/objects/";
-constexpr std::string_view kStatusSuffix = "/status";
 constexpr std::size_t kMaxBodyBytes = 2U << 20U;
 constexpr std::chrono::milliseconds kWatchPoll{3};
 constexpr std::size_t kEndlessPiece = 64 * 1024;
 
-std::optional<std::uint64_t> QueryNumber(std::string_view query,
-                                         std::string_view name) {
-  const std::size_t at = query.find(std::string(name) + "=");
-  if (at == std::string_view::npos) {
+/// What a call is about: /v1/objects/KIND[/NAME[/status]], decoded.
+struct call_target {
+  std::string kind;
+  std::string name;
+  bool status = false;
+  std::map<std::string, std::string> query;
+
+  std::optional<std::uint64_t> Number(const std::string& parameter) const {
+    const auto found = query.find(parameter);
+    if (found == query.end()) {
+      return std::nullopt;
+    }
+    std::uint64_t value = 0;
+    const std::string& text = found->second;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+  }
+};
+
+/// Reads a request target by RFC 3986; a plus sign in a query is a blank.
+/// \returns nothing when it is malformed or names no object.
+std::optional<call_target> ReadTarget(std::string_view target) {
+  // A fragment is not a part of a request.
+  target = target.substr(0, target.find('#'));
+  const auto parsed = boost::urls::parse_origin_form(target);
+  if (!parsed) {
     return std::nullopt;
   }
-  std::uint64_t value = 0;
-  const char* begin = query.data() + at + name.size() + 1;
-  std::from_chars(begin, query.data() + query.size(), value);
-  return value;
+  std::vector<std::string> segments;
+  for (const auto& segment : parsed->segments()) {
+    segments.emplace_back(segment);
+  }
+  if (segments.size() < 3 || segments.size() > 5 || segments[0] != "v1" ||
+      segments[1] != "objects" ||
+      (segments.size() == 5 && segments[4] != "status")) {
+    return std::nullopt;
+  }
+  call_target call;
+  call.kind = segments[2];
+  call.name = segments.size() > 3 ? segments[3] : "";
+  call.status = segments.size() == 5;
+  for (const auto& parameter : parsed->params()) {
+    call.query.emplace(parameter.key, parameter.value);
+  }
+  return call;
 }
 
 http_response Plain(int status) {
@@ -84,22 +119,38 @@
   const std::string mark = "raw spec " + kind + " " + name;
   {
     const std::lock_guard lock(mutex_);
-    raw_specs_["\"" + mark + "\""] = text;
+    raw_texts_[json::serialize(json::string(mark))] = text;
   }
   Put(kind, name, json::string(mark));
 }
 
+void platform_store::PutNamed(const std::string& kind,
+                              const std::string& name,
+                              const std::string& name_text,
+                              json::value spec) {
+  {
+    const std::lock_guard lock(mutex_);
+    raw_texts_[json::serialize(json::string(name))] = name_text;
+  }
+  Put(kind, name, std::move(spec));
+}
+
 std::string platform_store::Serialize(const json::value& answer) {
   std::string text = json::serialize(answer);
-  for (const auto& [mark, spec] : raw_specs_) {
+  for (const auto& [mark, raw] : raw_texts_) {
     for (std::size_t at = text.find(mark); at != std::string::npos;
-         at = text.find(mark, at + spec.size())) {
-      text.replace(at, mark.size(), spec);
+         at = text.find(mark, at + raw.size())) {
+      text.replace(at, mark.size(), raw);
     }
   }
   return text;
 }
 
+std::map<std::string, int> platform_store::listings(const std::string& kind) {
+  const std::lock_guard lock(mutex_);
+  return listings_[kind];
+}
+
 void platform_store::Erase(const std::string& kind, const std::string& name) {
   const std::lock_guard lock(mutex_);
   if (kinds_[kind].contains(name)) {
@@ -125,23 +176,35 @@
                                    const std::string& name) {
   const std::lock_guard lock(mutex_);
   auto& objects = kinds_[kind];
-  if (!name.empty()) {
-    if (kind == refused_kind_) {
-      return Plain(503);
-    }
-    const auto found = objects.find(name);
-    return found == objects.end()
-               ? Plain(404)
-               : JsonResponse(200,
-                              json::serialize(ToJson(name, found->second)));
+  if (kind == refused_kind_) {
+    return Plain(503);
+  }
+  const auto found = objects.find(name);
+  return found == objects.end()
+             ? Plain(404)
+             : JsonResponse(200, json::serialize(ToJson(name, found->second)));
+}
+
+http_response platform_store::List(const std::string& kind,
+                                   const std::string& after) {
+  const std::lock_guard lock(mutex_);
+  const auto& objects = kinds_[kind];
+  const int asked = ++listings_[kind][after];
+  auto at = after.empty() ? objects.begin() : objects.upper_bound(after);
+  if (paging_ == paging::stuck) {
+    at = objects.begin();
+  } else if (paging_ == paging::backward && asked % 2 == 1 &&
+             at != objects.begin()) {
+    --at;
   }
   json::array items;
-  for (const auto& [id, held] : objects) {
-    items.push_back(ToJson(id, held));
+  for (; at != objects.end() && items.size() < page_size_; ++at) {
+    items.push_back(ToJson(at->first, at->second));
   }
-  return JsonResponse(200, Serialize(json::object{{"items", std::move(items)},
-                                                  {"has-more", false},
-                                                  {"at", revision_}}));
+  return JsonResponse(200,
+                      Serialize(json::object{{"items", std::move(items)},
+                                             {"has-more", at != objects.end()},
+                                             {"at", revision_}}));
 }
 
 http_response platform_store::Write(const http_request& request,
@@ -233,31 +296,23 @@
     }
     co_return;
   }
-  std::string_view target = request.target;
-  const std::size_t mark = target.find('?');
-  const std::string query(
-      mark == std::string_view::npos ? "" : target.substr(mark + 1));
-  target = target.substr(0, mark);
-  if (!body || !target.starts_with(kRoot)) {
+  const auto target = ReadTarget(request.target);
+  if (!body || !target) {
+    ++refusals_;
     co_await exchange.Send(Plain(400));
     co_return;
   }
-  target.remove_prefix(kRoot.size());
-  const bool status = target.ends_with(kStatusSuffix);
-  if (status) {
-    target.remove_suffix(kStatusSuffix.size());
-  }
-  const std::size_t slash = target.find('/');
-  const std::string kind(target.substr(0, slash));
-  const std::string name(
-      slash == std::string_view::npos ? "" : target.substr(slash + 1));
+  const auto& [kind, name, status, query] = *target;
   http_response answer;
   if (request.method == "GET") {
-    if (const auto after = QueryNumber(query, "watch")) {
+    if (const auto revision = target->Number("watch")) {
       answer = co_await Watch(
-          kind, *after,
-          std::chrono::milliseconds(QueryNumber(query, "wait-ms").value_or(0)),
-          QueryNumber(query, "stale-ok").has_value());
+          kind, *revision,
+          std::chrono::milliseconds(target->Number("wait-ms").value_or(0)),
+          query.contains("stale-ok"));
+    } else if (name.empty()) {
+      const auto after = query.find("after");
+      answer = List(kind, after == query.end() ? "" : after->second);
     } else {
       answer = Read(kind, name);
     }
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -26,6 +26,13 @@
     late,      ///< Writes get no answer and are done after kLateWrite.
     endless,   ///< Answers bytes that are no answer, until the caller closes.
   };
+  /// How a listing is continued.
+  enum class paging {
+    sound,
+    stuck,     ///< Each page is the first one.
+    backward,  ///< Every second page begins one object too early.
+  };
+  static constexpr std::size_t kUsualPage = 500;
   static constexpr std::chrono::milliseconds kSlowAnswer{300};
   static constexpr std::chrono::milliseconds kLateWrite{700};
 
@@ -50,7 +57,23 @@
   void PutRaw(const std::string& kind,
               const std::string& name,
               const std::string& text);
+  /// Writes an object whose name stands in answers as \p name_text, a JSON
+  /// string, as another encoder may write it. A call means the object by
+  /// \p name.
+  void PutNamed(const std::string& kind,
+                const std::string& name,
+                const std::string& name_text,
+                boost::json::value spec);
   void Erase(const std::string& kind, const std::string& name);
+  /// Sets how many objects a page of a listing holds at most.
+  void SetPageSize(std::size_t objects) { page_size_ = objects; }
+  /// Sets how listings that continue are answered.
+  void SetPaging(paging next) { paging_ = next; }
+  /// \returns how often each page of listings of \p kind was asked for, by the
+  /// name that it begins after, as decoded.
+  std::map<std::string, int> listings(const std::string& kind);
+  /// \returns how many calls were refused because they cannot be read.
+  int refusals() const { return refusals_; }
   /// \returns the spec, or null.
   boost::json::value Spec(const std::string& kind, const std::string& name);
   /// \returns the status, or null.
@@ -72,12 +95,14 @@
     std::chrono::steady_clock::time_point at;
   };
 
-  /// \returns the text of an answer, with the raw specs in their places.
+  /// \returns the text of an answer, with the raw texts in their places.
   std::string Serialize(const boost::json::value& answer);
   static boost::json::object ToJson(const std::string& name,
                                     const object& held);
   void Change(const std::string& kind, const std::string& name, bool removed);
   http_response Read(const std::string& kind, const std::string& name);
+  /// \returns the page of objects of \p kind that begins after \p after.
+  http_response List(const std::string& kind, const std::string& after);
   http_response Write(const http_request& request,
                       const std::string& body,
                       const std::string& kind,
@@ -100,8 +125,12 @@
   std::atomic<bool> silent_watches_{false};
   std::atomic<std::chrono::milliseconds> staleness_{};
   std::string refused_kind_;
-  /// Raw specs by the text that stands for them.
-  std::map<std::string, std::string> raw_specs_;
+  std::atomic<std::size_t> page_size_{kUsualPage};
+  std::atomic<paging> paging_{paging::sound};
+  std::atomic<int> refusals_{0};
+  std::map<std::string, std::map<std::string, int>> listings_;
+  /// Texts of answers by the text that stands for them.
+  std::map<std::string, std::string> raw_texts_;
 };
 
 }  // namespace cardamomyard::standins
--- a/test/harness/platform_fleet.h
+++ b/test/harness/platform_fleet.h
@@ -57,6 +57,8 @@
   const std::filesystem::path& folder() const { return folder_; }
   child_process& process(std::size_t number) { return *processes_[number]; }
 
+  /// Starts a backend server that registers itself as \p id.
+  void AddEngine(const std::string& id);
   /// Writes the entry of a backend server as the server itself does.
   void RegisterEngine(const std::string& id,
                       const host_address& address,
@@ -140,8 +142,6 @@
       std::chrono::milliseconds limit = std::chrono::seconds(10));
 
  private:
-  void AddEngine(const std::string& id);
-
   platform_size size_;
   std::filesystem::path folder_;
   standins::platform_store* store_ = nullptr;
