Object API: encode names, kinds and cursors in request targets

What callers saw: an entry of another writer stood in the list of servers, its name with '&', '+', '#', '%' or a blank, the list longer than one page. While it stood, hosts that started served almost no request; after a restart of all hosts, the service stood still.

Cause: the name of a page's last object was put into "after" as it stands. The store read "a&b" as "a", "a+" as "a ", nothing behind '#', and answered 400 to '%'; the client refuses to send a blank. The listing then ended with an error and was begun again, or went back to an earlier page and never ended. Paths were put together the same way, so a call could mean another object.

Change: MakeTarget() builds a target from segments and parameters and encodes all of them, dot segments too.

--- a/packages/net/src/net/target.cc
+++ b/packages/net/src/net/target.cc
@@ -1,6 +1,7 @@
 #include "src/net/target.h"
 
 #include <cctype>
+#include <utility>
 
 namespace cardamomyard {
 namespace {
@@ -29,6 +30,15 @@
   return decoded;
 }
 
+/// \returns \p segment for a path.
+std::string EncodeSegment(std::string_view segment) {
+  // Dot segments are removed from a path on the way.
+  if (segment == ".") {
+    return "%2E";
+  }
+  return segment == ".." ? "%2E%2E" : PercentEncode(segment);
+}
+
 }  // namespace
 
 std::optional<std::string> request_target::Query(
@@ -86,6 +96,20 @@
   return encoded;
 }
 
+std::string MakeTarget(const std::vector<std::string_view>& segments,
+                       const std::vector<query_parameter>& query) {
+  std::string target;
+  for (const std::string_view segment : segments) {
+    target += "/" + EncodeSegment(segment);
+  }
+  char separator = '?';
+  for (const auto& [name, value] : query) {
+    target += std::exchange(separator, '&') + PercentEncode(name) + "=" +
+              PercentEncode(value);
+  }
+  return target;
+}
+
 std::string EncodeKeyPath(std::string_view key) {
   std::string path;
   for (std::size_t at = 0; at <= key.size();) {
@@ -93,7 +117,7 @@
     if (at > 0) {
       path.push_back('/');
     }
-    path += PercentEncode(key.substr(at, slash - at));
+    path += EncodeSegment(key.substr(at, slash - at));
     at = slash + 1;
   }
   return path;
--- a/packages/net/src/net/target.h
+++ b/packages/net/src/net/target.h
@@ -24,6 +24,17 @@
 /// \returns \p text with everything but unreserved characters escaped.
 std::string PercentEncode(std::string_view text);
 
+/// \brief One parameter of a query, not encoded.
+struct query_parameter {
+  std::string_view name;
+  std::string_view value;
+};
+
+/// \returns the path of \p segments with \p query. Everything is encoded, so
+/// that names of any bytes arrive as they are.
+std::string MakeTarget(const std::vector<std::string_view>& segments,
+                       const std::vector<query_parameter>& query = {});
+
 /// \returns an object key as a path, each segment percent-encoded.
 std::string EncodeKeyPath(std::string_view key);
 
--- a/packages/net/test/request_signer_test.cc
+++ b/packages/net/test/request_signer_test.cc
@@ -49,6 +49,26 @@
   EXPECT_EQ(EncodeKeyPath("batch/job/a b"), "batch/job/a%20b");
 }
 
+// Guards against a name that ends a path or a parameter, or that means another
+// object once it is decoded.
+TEST(TargetTest, NamesOfAnyBytesArriveAsTheyAre) {
+  std::string bytes;
+  for (int byte = 0; byte < 256; ++byte) {
+    bytes.push_back(static_cast<char>(byte));
+  }
+  for (const std::string& name :
+       {bytes, std::string("a&b=c+d#e%20f g?h/i"), std::string("%")}) {
+    const std::string target =
+        MakeTarget({"v1", name, "status"}, {{"after", name}, {name, "1"}});
+    EXPECT_TRUE(CheckTarget(target)) << target;
+    const request_target read = ParseTarget(target);
+    EXPECT_EQ(read.segments, (std::vector<std::string>{"v1", name, "status"}));
+    EXPECT_EQ(read.Query("after"), name);
+    EXPECT_EQ(read.Query(name), "1");
+  }
+  EXPECT_EQ(MakeTarget({"a", "..", "."}), "/a/%2E%2E/%2E");
+}
+
 TEST(HostAddressTest, RefusesNamesAndBadPorts) {
   EXPECT_TRUE(host_address::Parse("127.0.0.1:80"));
   EXPECT_TRUE(host_address::Parse("[::1]:80"));
