--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -191,7 +191,8 @@
   const auto& objects = kinds_[kind];
   const int asked = ++listings_[kind][after];
   auto at = after.empty() ? objects.begin() : objects.upper_bound(after);
-  if (paging_ == paging::stuck) {
+  const bool is_circular = paging_ == paging::circular;
+  if (paging_ == paging::stuck || (is_circular && at == objects.end())) {
     at = objects.begin();
   } else if (paging_ == paging::backward && asked % 2 == 1 &&
              at != objects.begin()) {
@@ -201,10 +202,10 @@
   for (; at != objects.end() && items.size() < page_size_; ++at) {
     items.push_back(ToJson(at->first, at->second));
   }
-  return JsonResponse(200,
-                      Serialize(json::object{{"items", std::move(items)},
-                                             {"has-more", at != objects.end()},
-                                             {"at", revision_}}));
+  return JsonResponse(200, Serialize(json::object{
+                               {"items", std::move(items)},
+                               {"has-more", is_circular || at != objects.end()},
+                               {"at", revision_}}));
 }
 
 http_response platform_store::Write(const http_request& request,
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -31,6 +31,7 @@
     sound,
     stuck,     ///< Each page is the first one.
     backward,  ///< Every second page begins one object too early.
+    circular,  ///< The first page follows the last one.
   };
   static constexpr std::size_t kUsualPage = 500;
   static constexpr std::chrono::milliseconds kSlowAnswer{300};
--- a/standins/test/platform_store_test.cc
+++ b/standins/test/platform_store_test.cc
@@ -83,12 +83,14 @@
 }
 
 // Guards against a listing that a test believes to be unsound.
-TEST_F(platform_store_fixture, ListingsAreStuckOrGoBackOnDemand) {
+TEST_F(platform_store_fixture, ListingsAreUnsoundOnDemand) {
   store_->SetPaging(platform_store::paging::stuck);
   EXPECT_EQ(Listed("?after=a%20b"), (names{"a", "a b"}));
   store_->SetPaging(platform_store::paging::backward);
   EXPECT_EQ(Listed("?after=a%23"), (names{"a#", "a&b"}));
   EXPECT_EQ(Listed("?after=a%23"), (names{"a&b", "b"}));
+  store_->SetPaging(platform_store::paging::circular);
+  EXPECT_EQ(Listed("?after=b"), (names{"a", "a b"}));
 }
 
 TEST_F(platform_store_fixture, NamesStandInAnswersAsTheyWereWritten) {
