Batch jobs and items: found under the ids that they were sent with

What callers saw: a batch job whose id held a colon, or another character beyond letters, digits, '-', '_' and '.', was accepted with 202, and each later call about it got 404: its results were lost to its caller. So were those of a job without an id, named "..", or with an id of over 128 bytes; an id that is no UTF-8 got 504. An item with such an id made the whole job a 400.

Cause: ids were read from paths and queries by pieces, without decoding, and then held against a list of characters that submissions were not held against.

Change: calls about jobs are read by ParseTarget, which now reads a plus sign in a query as a blank. A submission is refused with 400 and a reason if a later call could not carry an id (missing, over 128 bytes, control characters, blanks at its ends, a dot segment, not UTF-8); all others are accepted and found.

--- a/packages/gateway/src/gateway/job_frontend.cc
+++ b/packages/gateway/src/gateway/job_frontend.cc
@@ -119,7 +119,8 @@
     const std::string& account,
     std::string body) {
   const time_point began = host_->time().Now();
-  const result<job_input> input = host_->codec().ParseJobSubmission(body);
+  const result<job_input> input =
+      host_->codec().ParseJobSubmission(caller.id, body);
   body.clear();
   if (!input) {
     co_return Refuse(input.error(), caller, caller.id);
--- a/packages/gateway/src/gateway/protocol.h
+++ b/packages/gateway/src/gateway/protocol.h
@@ -88,7 +88,10 @@
   /// \returns the call about a batch job, or nothing for another request.
   virtual std::optional<result<job_call>> ParseJobCall(
       const http_request& request) const = 0;
+  /// \returns the input of the batch job with the id \p job. An id that a call
+  /// about the job could not carry is refused.
   virtual result<job_input> ParseJobSubmission(
+      const std::string& job,
       const std::string& body) const = 0;
 
   /// \returns the request to forward to a backend server, without the caller's
--- a/packages/net/src/net/target.cc
+++ b/packages/net/src/net/target.cc
@@ -14,7 +14,8 @@
   return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
 }
 
-std::string PercentDecode(std::string_view text) {
+/// \param plus  what a plus sign stands for.
+std::string PercentDecode(std::string_view text, char plus) {
   std::string decoded;
   decoded.reserve(text.size());
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -24,7 +25,7 @@
                                           HexValue(text[i + 2])));
       i += 2;
     } else {
-      decoded.push_back(text[i]);
+      decoded.push_back(text[i] == '+' ? plus : text[i]);
     }
   }
   return decoded;
@@ -58,7 +59,8 @@
   for (std::size_t at = 0; at < path.size();) {
     const auto slash = std::min(path.find('/', at), path.size());
     if (slash > at) {
-      parsed.segments.push_back(PercentDecode(path.substr(at, slash - at)));
+      parsed.segments.push_back(
+          PercentDecode(path.substr(at, slash - at), '+'));
     }
     at = slash + 1;
   }
@@ -72,8 +74,8 @@
     const auto equals = pair.find('=');
     const std::string_view value =
         equals == std::string_view::npos ? "" : pair.substr(equals + 1);
-    parsed.query.emplace(PercentDecode(pair.substr(0, equals)),
-                         PercentDecode(value));
+    parsed.query.emplace(PercentDecode(pair.substr(0, equals), ' '),
+                         PercentDecode(value, ' '));
     at = end + 1;
   }
   return parsed;
--- a/packages/net/src/net/target.h
+++ b/packages/net/src/net/target.h
@@ -13,7 +13,8 @@
 struct request_target {
   std::string path;                   ///< As received, without the query.
   std::vector<std::string> segments;  ///< Percent-decoded.
-  std::map<std::string, std::string> query;  ///< Percent-decoded.
+  /// Percent-decoded; a plus sign is a blank.
+  std::map<std::string, std::string> query;
 
   std::optional<std::string> Query(const std::string& name) const;
 };
--- a/packages/net/test/request_signer_test.cc
+++ b/packages/net/test/request_signer_test.cc
@@ -46,6 +46,8 @@
   ASSERT_EQ(target.segments.size(), 3U);
   EXPECT_EQ(target.segments[2], "a/b");
   EXPECT_EQ(target.Query("after"), "x y");
+  EXPECT_EQ(ParseTarget("/a+b?a+b=c+d%2Be").segments[0], "a+b");
+  EXPECT_EQ(ParseTarget("/a+b?a+b=c+d%2Be").Query("a b"), "c d+e");
   EXPECT_EQ(EncodeKeyPath("batch/job/a b"), "batch/job/a%20b");
 }
 
--- a/test/harness/platform_fleet.cc
+++ b/test/harness/platform_fleet.cc
@@ -221,16 +221,17 @@
   }
   return client_.Call(
       gateway.front,
-      Request("POST", "/" + route + "/" + job, job,
+      Request("POST", MakeTarget({route, job}), job,
               json::serialize(json::object{{"items", std::move(list)}})));
 }
 
 json::object platform_fleet::Results(const host& gateway,
                                      const std::string& job,
                                      int after) {
+  const std::string position = std::to_string(after);
   const auto answer = client_.Call(
       gateway.front,
-      Request("GET", "/v1/lots/" + job + "?after=" + std::to_string(after),
+      Request("GET", MakeTarget({"v1", "lots", job}, {{"after", position}}),
               "read"));
   if (answer.status != 200) {
     return {};
