Digests: zones out of use that no datagram holds are not told

What callers would see, where zones can be taken out of use: an entry of another writer among them, with a name of 70,000 bytes, kept all hosts from hearing each other, as each digest carries all zones out of use and none could be sent. Workers got no jobs.

Cause: names of entries went into a datagram without a bound.

Change: a name of over 256 bytes is no zone (the bound that ids of servers in digests have), and zones of over 16 KB together are left out of the digest with their revision, so that peers adopt nothing and follow the store. Part of a list would be taken for all of it.

Evidence: with one such name the new test of odd_name_fixture failed before (the worker was never heard within 10 s). Now it passes with 400 further names of 200 bytes; EntriesOfAllKindsAreLeftOut, new too, held before this change.

--- a/packages/fleet/src/fleet/zone_evacuations.cc
+++ b/packages/fleet/src/fleet/zone_evacuations.cc
@@ -1,10 +1,18 @@
 #include "src/fleet/zone_evacuations.h"
 
+#include <cstddef>
 #include <utility>
 
 namespace cardamomyard {
 namespace {
 
+// Zones out of use travel in the digests of hosts, which are datagrams.
+constexpr std::size_t kMaxZoneBytes = 256;
+
+bool IsZone(const std::string& name) {
+  return name.size() <= kMaxZoneBytes;
+}
+
 /// \returns a record that hosts compare by its name alone, as digests name only
 /// the zones.
 store_record ToNamed(std::string zone) {
@@ -14,6 +22,9 @@
 }  // namespace
 
 bool zone_evacuations::ApplySnapshot(store_snapshot snapshot) {
+  std::erase_if(snapshot.records, [](const store_record& record) {
+    return !IsZone(record.name);
+  });
   for (store_record& record : snapshot.records) {
     record = ToNamed(std::move(record.name));
   }
@@ -21,6 +32,9 @@
 }
 
 bool zone_evacuations::ApplyChanges(store_changes answer) {
+  std::erase_if(answer.changes, [](const store_change& change) {
+    return !IsZone(change.record.name);
+  });
   for (store_change& change : answer.changes) {
     change.record = ToNamed(std::move(change.record.name));
   }
--- a/packages/fleet/src/fleet/zone_evacuations.h
+++ b/packages/fleet/src/fleet/zone_evacuations.h
@@ -11,7 +11,8 @@
 namespace cardamomyard {
 
 /// \brief The availability zones whose servers get no new work, because the
-/// operator asked for it. What a peer said holds until this host's watch has
+/// operator asked for it. An entry whose name is too long for one names none.
+/// What a peer said holds until this host's watch has
 /// reached the peer's revision; see record_replica.
 class zone_evacuations {
  public:
--- a/packages/gateway/src/gateway/host_runtime_servers.cc
+++ b/packages/gateway/src/gateway/host_runtime_servers.cc
@@ -1,5 +1,7 @@
 // What a host knows of the backend servers: from their answers, and from and
 // for the digests between hosts.
+#include <set>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -14,6 +16,17 @@
 // Speeds change seldom, so only one digest in this time carries them.
 constexpr std::chrono::milliseconds kSpeedReportPeriod{1000};
 constexpr std::size_t kMaxReportedSpeeds = 64;
+// Zones are told all or not at all, as a peer takes them for all that there
+// are.
+constexpr std::size_t kMaxReportedZoneBytes = 16 * 1024;
+
+bool FitsDigest(const std::set<std::string>& zones) {
+  std::size_t bytes = 0;
+  for (const std::string& zone : zones) {
+    bytes += zone.size();
+  }
+  return bytes <= kMaxReportedZoneBytes;
+}
 
 }  // namespace
 
@@ -203,8 +216,10 @@
   }
   if (settings_.bounds.evacuates_zones) {
     const zone_evacuations& known = current_inventory().evacuations();
-    digest.evacuated_zones.assign(known.zones().begin(), known.zones().end());
-    digest.evacuation_revision = static_cast<std::int64_t>(known.revision());
+    if (FitsDigest(known.zones())) {
+      digest.evacuated_zones.assign(known.zones().begin(), known.zones().end());
+      digest.evacuation_revision = static_cast<std::int64_t>(known.revision());
+    }
   }
   callbacks_.fill_digest(digest);
 }
--- a/test/odd_name_test.cc
+++ b/test/odd_name_test.cc
@@ -249,5 +249,49 @@
   ExpectRunning({gateway, worker});
 }
 
+// Each kind that hosts list is read by the same function, and its entries by
+// another one.
+TEST_F(odd_name_fixture, Rule11_EntriesOfAllKindsAreLeftOut) {
+  SetBounds({{"evacuate-ms", 3000}});
+  const std::vector<std::string> names{
+      "a ", "a#", "a%20", "a&", "a+", "a/b", "a" + std::string(300, '&')};
+  for (const std::string kind :
+       {"config", "servers", "retirements", "evacuations", "cardamomyard-host",
+        "batch-job"}) {
+    for (const std::string& name : names) {
+      store().Put(kind, name, boost::json::object{{"written-by", "another"}});
+    }
+  }
+  store().SetPageSize(1);
+  const host gateway = StartGateway("g1");
+  const host worker = StartWorker("w1", gateway);
+  ExpectServed(gateway, "r1");
+  ASSERT_EQ(Submit(gateway, "j1", 3, "i").status, 202);
+  EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
+  ExpectLastServerKnown({"g1", "w1"});
+  ExpectFewListings(2);
+  ExpectRunning({gateway, worker});
+}
+
+// Zones out of use stand in the digests of hosts, which are datagrams: hosts
+// did not hear each other beside names that no datagram holds.
+TEST_F(odd_name_fixture, Rule11_OddZonesOutOfUseKeepNoDigestFromBeingSent) {
+  SetBounds({{"evacuate-ms", 3000}});
+  std::vector<std::string> names{std::string(70'000, 'z')};
+  for (int i = 0; i < 400; ++i) {
+    names.push_back(std::to_string(i) + std::string(200, 'z'));
+  }
+  for (const std::string& name : names) {
+    store().Put("evacuations", name,
+                boost::json::object{{"written-by", "another"}});
+  }
+  const host gateway = StartGateway("g1");
+  const host worker = StartWorker("w1", gateway);
+  ExpectServed(gateway, "r1");
+  ASSERT_EQ(Submit(gateway, "j1", 3, "i").status, 202);
+  EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
+  ExpectRunning({gateway, worker});
+}
+
 }  // namespace
 }  // namespace cardamomyard
