Own interface: listings end, and leave out entries that cannot be read

What callers would see: one entry of a listing without a key, or with a field of another type, ended the listing with an exception, so that no sidecar found a job; one job whose record cannot be read kept operators (500) and callers from listing all others. A store that came back to an earlier page was asked without end while the list grew.

Cause: loops gave up the whole answer for one entry, and only an empty page ended a listing of several pages, as if it were whole.

Change: an entry that cannot be read is logged and left out. A page that names no further key, and is not the last one, is an error. Listings of jobs leave out a job whose record cannot be read; a store that does not answer is an error as before. Reports still fail for such a job, as an account must be whole.

Keys with '&', '+', '#', '%', '/' or a blank at the end of a page held before: this client encodes them.

--- a/packages/node/src/node/entry/admin_batches.cc
+++ b/packages/node/src/node/entry/admin_batches.cc
@@ -1,5 +1,6 @@
 #include <charconv>
 
+#include "cardamomyard/telemetry.h"
 #include "src/node/entry/admin_call.h"
 #include "src/node/entry/admin_json.h"
 #include "src/node/entry/batch_reader.h"
@@ -12,6 +13,7 @@
 constexpr const char* kJobPrefix = "batch/job/";
 constexpr std::size_t kDefaultPageSize = 100;
 constexpr std::size_t kMaxPageSize = 1000;
+constexpr part_log kLog("admin");
 
 std::string QueryValue(const admin_call& call, const std::string& name) {
   const auto found = call.query.find(name);
@@ -19,7 +21,8 @@
 }
 
 /// Reads at most `limit` jobs for one page and then applies the filter by
-/// account, so that the filter cannot cause an unbounded number of reads.
+/// account, so that the filter cannot cause an unbounded number of reads. A job
+/// whose record cannot be read does not hide the others.
 asio::awaitable<admin_response> List(admin_services& services,
                                      admin_call call) {
   std::size_t limit = kDefaultPageSize;
@@ -49,9 +52,14 @@
   for (const auto& entry : page->entries) {
     last = entry.key.substr(std::string_view(kJobPrefix).size());
     auto job = co_await reader.Job(last);
-    if (!job) {
+    if (!job && job.error().kind() == error_kind::store_unavailable) {
       co_return Fail(job.error());
     }
+    if (!job) {
+      kLog.Warning("A batch job is left out of a listing.",
+                   {{"job", last}, {"reason", job.error().message()}});
+      continue;
+    }
     if (account.empty() || job->account == account) {
       jobs.push_back(json::parse(DescribeJob(*job)));
     }
--- a/packages/node/src/node/entry/batches_api.cc
+++ b/packages/node/src/node/entry/batches_api.cc
@@ -226,10 +226,14 @@
   for (const object_listing::entry& entry : page->entries) {
     result<std::string> job =
         co_await GetBatch(request.account, entry.key.substr(prefix.size()));
+    if (!job && job.error().kind() == error_kind::store_unavailable) {
+      co_return Fail(job.error());
+    }
     if (job) {
       jobs.push_back(std::move(*job));
     } else if (job.error().kind() != error_kind::not_found) {
-      co_return Fail(job.error());
+      kLog.Warning("A batch job is left out of a listing.",
+                   {{"key", entry.key}, {"reason", job.error().message()}});
     }
   }
   co_return DescribeBatches(jobs, page->more);
--- a/packages/node/test/admin_api_test.cc
+++ b/packages/node/test/admin_api_test.cc
@@ -1,6 +1,10 @@
 #include "src/node/entry/admin_api.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "src/node/entry/usage_ledger.h"
 #include "store_fixture.h"
@@ -283,5 +287,41 @@
   EXPECT_NE(other.body.find("\"data\":[]"), std::string::npos) << other.body;
 }
 
+// One job whose record cannot be read kept operators from listing all others,
+// and a page may end with any name.
+TEST_F(admin_api_test, JobsThatCannotBeReadHideNoOther) {
+  const std::vector<std::string> ids{"a",   "a b", "a#b", "a%41", "a&b",
+                                     "a+b", "a/b", "a:b", "a?b",  "\xc3\xa9"};
+  for (const std::string& id : ids) {
+    ASSERT_TRUE(Await(store_->Put("batch/job/" + id, "{", write_always())));
+  }
+  file_manifest manifest;
+  manifest.account = "acme";
+  manifest.items = 1;
+  manifest.chunks = {Sha256Hex("chunk")};
+  manifest.items_per_chunk = {1};
+  const job_record job = *CreateJob("acme", manifest, "/v1/completions", "",
+                                    time_.WallNow(), "n1");
+  ASSERT_TRUE(
+      Await(store_->Put("batch/job/" + job.id, job.ToJson(), write_always())));
+  std::set<std::string> cursors;
+  std::size_t found = 0;
+  std::string after;
+  bool more = true;
+  while (more) {
+    const http_response page =
+        Call("GET", MakeTarget({"admin", "v1", "batches"},
+                               {{"limit", "1"}, {"start_after", after}}));
+    ASSERT_EQ(page.status, 200) << page.body;
+    const boost::json::value body = boost::json::parse(page.body);
+    found += body.at("data").as_array().size();
+    more = body.at("more").as_bool();
+    after = body.at("last").as_string();
+    ASSERT_TRUE(cursors.insert(after).second) << after;
+  }
+  EXPECT_EQ(found, 1U);
+  EXPECT_EQ(cursors.size(), ids.size() + 1);
+}
+
 }  // namespace
 }  // namespace cardamomyard
--- a/packages/store/src/store/store_client.cc
+++ b/packages/store/src/store/store_client.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 #include <charconv>
+#include <unordered_set>
 #include <utility>
 
 #include "src/net/message_size.h"
@@ -19,6 +20,7 @@
 constexpr std::size_t kListPage = 1000;
 // Above any page and any value; a faulty store may send bytes without end.
 constexpr std::size_t kMaxAnswerBytes = 4U << 20U;
+constexpr std::size_t kMaxLoggedBytes = 256;
 constexpr std::chrono::milliseconds kFirstBackoff{20};
 
 std::string ObjectTarget(const std::string& key) {
@@ -49,6 +51,25 @@
   }
 };
 
+/// \returns an entry of a listing of \p prefix; nothing if it cannot be read.
+std::optional<object_listing::entry> ReadEntry(const json::value& item,
+                                               const std::string& prefix) {
+  const json::object* fields = item.if_object();
+  const json::value* key = fields ? fields->if_contains("key") : nullptr;
+  const json::value* version =
+      fields ? fields->if_contains("version") : nullptr;
+  if (key == nullptr || !key->is_string() ||
+      !key->get_string().starts_with(prefix) || version == nullptr) {
+    return std::nullopt;
+  }
+  boost::system::error_code code;
+  const auto number = version->to_number<std::uint64_t>(code);
+  if (code) {
+    return std::nullopt;
+  }
+  return object_listing::entry{std::string(key->get_string()), number};
+}
+
 error Unavailable(const std::string& reason, outcome ran) {
   return error::Make(error_kind::store_unavailable, "object API: " + reason)
       .WithOutcome(ran);
@@ -281,10 +302,15 @@
   }
   object_listing listing;
   for (const json::value& item : objects->as_array()) {
-    object_listing::entry entry;
-    entry.key = json::value_to<std::string>(item.at("key"));
-    entry.version = item.at("version").to_number<std::uint64_t>();
-    listing.entries.push_back(std::move(entry));
+    auto entry = ReadEntry(item, prefix);
+    if (!entry) {
+      log_.Warning(
+          "An entry of a listing cannot be read.",
+          {{"prefix", prefix},
+           {"entry", json::serialize(item).substr(0, kMaxLoggedBytes)}});
+      continue;
+    }
+    listing.entries.push_back(std::move(*entry));
   }
   const json::value* more = fields->if_contains("more");
   listing.more = more != nullptr && more->is_bool() && more->as_bool();
@@ -294,17 +320,28 @@
 asio::awaitable<result<std::vector<object_listing::entry>>>
 store_client::ListAll(std::string prefix) {
   std::vector<object_listing::entry> all;
+  std::unordered_set<std::string> keys;
   std::string start_after;
   while (true) {
     result<object_listing> page = co_await List(prefix, start_after, kListPage);
     if (!page) {
       co_return Fail(page.error());
     }
-    all.insert(all.end(), page->entries.begin(), page->entries.end());
-    if (!page->more || page->entries.empty()) {
+    const std::size_t listed = all.size();
+    for (object_listing::entry& entry : page->entries) {
+      if (keys.insert(entry.key).second) {
+        all.push_back(std::move(entry));
+      }
+    }
+    if (!page->more) {
       co_return all;
     }
-    start_after = page->entries.back().key;
+    if (all.size() == listed) {
+      // The store would be asked for the same pages without end.
+      co_return Fail(Unavailable(
+          "a listing does not go on after " + start_after, outcome::not_run));
+    }
+    start_after = all.back().key;
   }
 }
 
--- a/packages/store/src/store/store_client.h
+++ b/packages/store/src/store/store_client.h
@@ -92,10 +92,13 @@
   /// Removes an object; success when it does not exist.
   boost::asio::awaitable<result<void>> Remove(std::string key);
 
+  /// \returns a page of the keys of a prefix, without entries that cannot be
+  /// read.
   boost::asio::awaitable<result<object_listing>> List(std::string prefix,
                                                       std::string start_after,
                                                       std::size_t limit);
-  /// Lists every key of a prefix, page by page.
+  /// Lists every key of a prefix, page by page. Fails with `store_unavailable`
+  /// when a page names no further key and is not the last one.
   boost::asio::awaitable<result<std::vector<object_listing::entry>>> ListAll(
       std::string prefix);
 
@@ -129,6 +132,7 @@
   const clock* clock_;
   metrics_registry* metrics_;
   std::atomic<duration::rep> last_contact_{0};
+  part_log log_{"store"};
 };
 
 }  // namespace cardamomyard
