Logs: bytes that are no text are escaped in fields

What operators saw: a log line with a name or an id that is not UTF-8 was no JSON, so that tools which read the logs stopped at it or lost it.

Cause: values of others were written as they are; Boost.JSON serializes any bytes.

Change: of a value that is not UTF-8, bytes beyond ASCII are written as \xNN.

Evidence: Log.FieldsOfAnyBytesStandInJson failed before (the line did not parse) and passes now, with the rest of telemetry_test (7).

--- a/packages/telemetry/src/telemetry/log.cc
+++ b/packages/telemetry/src/telemetry/log.cc
@@ -1,10 +1,12 @@
 #include "src/telemetry/log.h"
 
+#include <fmt/format.h>
 #include <pthread.h>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
@@ -22,6 +24,7 @@
 // A host logs a few lines a request; more than this a second only comes from
 // a fault that repeats itself.
 constexpr std::int64_t kMaxLinesPerSecond = 500;
+constexpr unsigned char kFirstNonAscii = 0x80;
 
 struct log_settings {
   std::shared_ptr<spdlog::details::thread_pool> threads;
@@ -62,13 +65,36 @@
   return spdlog::level::info;
 }
 
+/// \returns \p value as text: if it is not UTF-8, its bytes beyond ASCII are
+/// escaped, as no reader of JSON would accept them.
+std::string ToText(std::string_view value) {
+  const auto is_ascii = [](char c) {
+    return static_cast<unsigned char>(c) < kFirstNonAscii;
+  };
+  if (std::ranges::all_of(value, is_ascii)) {
+    return std::string(value);
+  }
+  boost::system::error_code code;
+  boost::json::parse(boost::json::serialize(boost::json::string(value)), code);
+  if (!code) {
+    return std::string(value);
+  }
+  std::string escaped;
+  for (const char c : value) {
+    escaped += is_ascii(c)
+                   ? std::string(1, c)
+                   : fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+  }
+  return escaped;
+}
+
 std::string TextLine(std::string_view part,
                      std::string_view sentence,
                      std::initializer_list<log_field> fields) {
   std::string line = "[" + std::string(part) + "] " + std::string(sentence);
   for (const log_field& field : fields) {
     line += " " + std::string(field.name) + "=" +
-            boost::json::serialize(boost::json::string(field.value));
+            boost::json::serialize(boost::json::string(ToText(field.value)));
   }
   return line;
 }
@@ -80,7 +106,7 @@
   line["part"] = std::string(part);
   line["message"] = std::string(sentence);
   for (const log_field& field : fields) {
-    line[std::string(field.name)] = field.value;
+    line[std::string(field.name)] = ToText(field.value);
   }
   // The pattern of the JSON format opens the object with time and level.
   return boost::json::serialize(line).substr(1);
--- a/packages/telemetry/test/log_test.cc
+++ b/packages/telemetry/test/log_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <boost/json.hpp>
 #include <chrono>
 #include <cstdio>
 #include <future>
@@ -89,5 +90,24 @@
   FlushLogs(std::chrono::milliseconds(500));
 }
 
+// Names and ids of others go into log fields; a line with bytes that are no
+// characters could not be read by any tool.
+TEST(Log, FieldsOfAnyBytesStandInJson) {
+  ConfigureLogs(log_level::info, log_format::json);
+  constexpr part_log kLog("test");
+  captured_output output;
+  const std::string odd = "a\xff\"\\\n\xed\xb3\xbf\x01";
+  kLog.Info("An odd name.", {{"name", odd}, {"text", "\xc3\xa9"}});
+  kLog.Info("The last line.");
+  const std::string read = output.ReadUntil("The last line.");
+  output.Close();
+  const std::string line = read.substr(0, read.find('\n'));
+  boost::system::error_code code;
+  const boost::json::value fields = boost::json::parse(line, code);
+  ASSERT_FALSE(code) << line;
+  EXPECT_EQ(fields.at("name"), "a\\xff\"\\\n\\xed\\xb3\\xbf\x01");
+  EXPECT_EQ(fields.at("text"), "\xc3\xa9");
+}
+
 }  // namespace
 }  // namespace cardamomyard
