Servers: an id that no header carries names no server

What callers would see: attempts and time spent on an entry of another writer whose name begins or ends with a blank, with the contents of a sound server. Requests went there, and the server refused each as meant for another one.

Cause: the name was put into Target-Instance as it stands, and blanks around the value of a header are not a part of it. Control characters were checked.

--- a/test/odd_name_test.cc
+++ b/test/odd_name_test.cc
@@ -249,6 +249,21 @@
   ExpectRunning({gateway, worker});
 }
 
+// Requests went to such a server, which refused each as meant for another one.
+TEST_F(odd_name_fixture, Rule11_ServerWhoseIdNoHeaderCarriesGetsNoRequest) {
+  const std::vector<std::string> names{" ", "a "};
+  for (const std::string& name : names) {
+    RegisterEngine(name, engine_address(0), "ready");
+  }
+  const host gateway = StartGateway("g1");
+  ExpectReportedOnce("g1", names);
+  for (int i = 0; i < 10; ++i) {
+    ExpectServed(gateway, std::to_string(i));
+  }
+  EXPECT_FALSE(Logged("g1", "\"backend\":\" \"", "A request goes"));
+  EXPECT_FALSE(Logged("g1", "\"backend\":\"a \"", "A request goes"));
+}
+
 // Each kind that hosts list is read by the same function, and its entries by
 // another one.
 TEST_F(odd_name_fixture, Rule11_EntriesOfAllKindsAreLeftOut) {
