--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -91,6 +91,33 @@
   RC_ASSERT(*decoded == message);
 }
 
+// Guards against entries of others that spoil a message between hosts: their
+// names and values hold any bytes.
+RC_GTEST_PROP(CodecTest,
+              NamesOfAnyBytesAreReadBack,
+              (const std::string& name, const std::string& value)) {
+  inventory_snapshot inventory;
+  inventory.backend_revision = 3;
+  inventory.backends = {{name, value, 2}, {value, name, 3}};
+  inventory.backends_since = 1;
+  inventory.removed_backends = {name + "%41", name + "A"};
+  const auto adopted = Decode<inventory_snapshot>(Encode(inventory));
+  RC_ASSERT(adopted.has_value());
+  RC_ASSERT(*adopted == inventory);
+  const store_call call{store_operation::replace, name, name, value, 4};
+  const auto relayed = Decode<store_call>(Encode(call));
+  RC_ASSERT(relayed.has_value());
+  RC_ASSERT(*relayed == call);
+  load_digest digest;
+  digest.host = "h";
+  digest.address = "127.0.0.1:1";
+  digest.evacuated_zones = {name, value};
+  digest.evacuation_revision = 5;
+  const auto heard = Decode<load_digest>(Encode(digest));
+  RC_ASSERT(heard.has_value());
+  RC_ASSERT(heard->evacuated_zones == digest.evacuated_zones);
+}
+
 // Guards against a malformed message that ends the process or allocates
 // without bound.
 RC_GTEST_PROP(CodecTest, RandomBytesNeverCrash, (const std::string& bytes)) {
