--- a/test/odd_name_test.cc
+++ b/test/odd_name_test.cc
@@ -28,7 +28,7 @@
   std::vector<std::string> names;
   /// Objects a page; the last of the names ends the first page if it is 0.
   std::size_t page_size = 0;
-  /// Entries of sound writers.
+  /// Further entries of that writer, with plain names.
   std::vector<std::string> others = {};
 };
 
@@ -75,7 +75,14 @@
     }
   }
 
-  /// Expects that the host knows the server whose entry is the last one.
+  /// Expects that requests are served and that a batch job is done.
+  void ExpectWholePath(const host& gateway) {
+    ExpectServed(gateway, "r1");
+    ASSERT_EQ(Submit(gateway, "j1", 3, "i").status, 202);
+    EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
+  }
+
+  /// Expects that the hosts know the server whose entry is the last one.
   void ExpectLastServerKnown(const std::vector<std::string>& names) {
     RegisterEngine(kLastServer, engine_address(1), "draining");
     for (const std::string& name : names) {
@@ -132,9 +139,7 @@
   Write(GetParam());
   const host gateway = StartGateway("g1");
   const host worker = StartWorker("w1", gateway);
-  ExpectServed(gateway, "r1");
-  ASSERT_EQ(Submit(gateway, "j1", 3, "i").status, 202);
-  EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
+  ExpectWholePath(gateway);
   ExpectLastServerKnown({"g1", "w1"});
   ExpectFewListings(2);
   std::vector<std::string> left_out = GetParam().names;
@@ -242,9 +247,7 @@
   RegisterEngine(kLastServer, engine_address(1), "draining");
   const host gateway = StartGateway("g1");
   const host worker = StartWorker("w1", gateway);
-  ExpectServed(gateway, "r1");
-  ASSERT_EQ(Submit(gateway, "j1", 3, "i").status, 202);
-  EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
+  ExpectWholePath(gateway);
   EXPECT_GE(engines().back()->runs().size(), 4U);
   ExpectRunning({gateway, worker});
 }
@@ -280,9 +283,7 @@
   store().SetPageSize(1);
   const host gateway = StartGateway("g1");
   const host worker = StartWorker("w1", gateway);
-  ExpectServed(gateway, "r1");
-  ASSERT_EQ(Submit(gateway, "j1", 3, "i").status, 202);
-  EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
+  ExpectWholePath(gateway);
   ExpectLastServerKnown({"g1", "w1"});
   ExpectFewListings(2);
   ExpectRunning({gateway, worker});
@@ -302,9 +303,7 @@
   }
   const host gateway = StartGateway("g1");
   const host worker = StartWorker("w1", gateway);
-  ExpectServed(gateway, "r1");
-  ASSERT_EQ(Submit(gateway, "j1", 3, "i").status, 202);
-  EXPECT_TRUE(AllListed(gateway, "j1", 3)) << Log("w1");
+  ExpectWholePath(gateway);
   ExpectRunning({gateway, worker});
 }
 
